--- /dev/null
+++ b/cmake/baobab_install.cmake
@@ -0,0 +1,5 @@
+include(GNUInstallDirs)
+install(TARGETS baobabd baobab-publish baobab-load
+        DESTINATION ${CMAKE_INSTALL_BINDIR})
+install(DIRECTORY examples docs DESTINATION ${CMAKE_INSTALL_DOCDIR}
+        OPTIONAL)
--- /dev/null
+++ b/include/baobab/core/outcome.hpp
@@ -0,0 +1,57 @@
+/// @file
+/// How an attempt of a call ended.
+#pragma once
+
+#include "baobab/core/http_message.hpp"
+#include "baobab/core/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace baobab {
+
+/// Why a call was not run.
+enum class RefusalReason : std::uint8_t
+{
+  Overloaded,
+  Leaving,
+  NotReady,
+  Expired,
+  Fenced,
+  Quarantined,
+  Unreachable,
+  NoTarget,
+  WrongService,
+  TooLarge,
+  Cancelled,
+};
+
+/// Returns the stable name of a reason.
+std::string_view Name(RefusalReason aReason);
+
+/// The target's whole answer.
+struct Answered
+{
+  Response response;
+};
+
+/// The call was not run and never will be.
+struct NotRun
+{
+  RefusalReason reason = RefusalReason::Overloaded;
+  std::string detail;
+  /// True if a daemon nearer to the failure has already tried again.
+  bool retried = false;
+};
+
+/// The call may or may not have run.
+struct OutcomeUnknown
+{
+  std::string detail;
+};
+
+using Outcome = std::variant<Answered, NotRun, OutcomeUnknown>;
+
+}
--- /dev/null
+++ b/include/baobab/core/schema.hpp
@@ -0,0 +1,339 @@
+/// @file
+/// Strict schemas for TOML documents. The same tables check files and
+/// generate the reference pages.
+#pragma once
+
+#include "baobab/core/endpoint.hpp"
+#include "baobab/core/result.hpp"
+#include "baobab/core/time.hpp"
+#include "baobab/core/toml_entry.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace baobab {
+
+/// Documentation of one key.
+struct FieldHelp
+{
+  std::string key;
+  std::string type;
+  std::string unit;
+  std::string defaultValue;
+  std::string range;
+  std::string help;
+};
+
+/// One key of a document of type T.
+template<class T>
+struct Field
+{
+  FieldHelp help;
+  bool required = false;
+  /// Stores a value; returns what was expected if the value does not fit.
+  std::function<std::optional<Error>(T&, const TomlValue&)> assign;
+};
+
+/// A whole number with its inclusive range.
+struct IntegerRange
+{
+  std::int64_t low;
+  std::int64_t high;
+};
+
+/// One name of an enumeration.
+template<class E>
+struct Choice
+{
+  std::string_view name;
+  E value;
+};
+
+namespace schema_detail {
+
+Error Expected(std::string_view aType);
+
+Error OutOf(const std::string& aRange);
+
+std::string Show(const IntegerRange& aRange);
+
+std::string ShowReal(double aValue);
+
+std::string ShowList(const std::vector<std::string>& aItems);
+
+Error UnknownKeyError(std::string_view aFile,
+                      const TomlEntry& aEntry,
+                      const std::vector<std::string>& aKnown);
+
+Error MissingKeyError(std::string_view aFile, std::string_view aKey);
+
+Error At(std::string_view aFile, const TomlEntry& aEntry, const Error& aError);
+
+/// Assigns a whole number through a conversion to the member's type.
+template<class T, class Access, class Make>
+Field<T>
+NumberField(FieldHelp aHelp, Access aAccess, IntegerRange aRange, Make aMake)
+{
+  aHelp.type = "integer";
+  aHelp.range = Show(aRange);
+  return { std::move(aHelp),
+           false,
+           [=](T& aDocument, const TomlValue& aValue) -> std::optional<Error> {
+             const auto* number = std::get_if<std::int64_t>(&aValue);
+             if (number == nullptr) {
+               return Expected("an integer");
+             }
+             if (*number < aRange.low || *number > aRange.high) {
+               return OutOf(Show(aRange));
+             }
+             aAccess(aDocument) = aMake(*number);
+             return std::nullopt;
+           } };
+}
+
+}
+
+/// A whole number. @param aAccess returns a reference to the member
+template<class T, class Access>
+Field<T>
+Integer(std::string aKey,
+        Access aAccess,
+        IntegerRange aRange,
+        std::string aUnit,
+        std::string aHelp)
+{
+  T defaults{};
+  using Member = std::remove_reference_t<decltype(aAccess(defaults))>;
+  return schema_detail::NumberField<T>(
+    { std::move(aKey),
+      "",
+      std::move(aUnit),
+      std::to_string(aAccess(defaults)),
+      "",
+      std::move(aHelp) },
+    aAccess,
+    aRange,
+    [](std::int64_t aNumber) { return static_cast<Member>(aNumber); });
+}
+
+/// A duration, written as a whole number of the member's own unit.
+template<class T, class Access>
+Field<T>
+Time(std::string aKey,
+     Access aAccess,
+     IntegerRange aRange,
+     std::string aUnit,
+     std::string aHelp)
+{
+  T defaults{};
+  using Member = std::remove_reference_t<decltype(aAccess(defaults))>;
+  return schema_detail::NumberField<T>(
+    { std::move(aKey),
+      "",
+      std::move(aUnit),
+      std::to_string(aAccess(defaults).count()),
+      "",
+      std::move(aHelp) },
+    aAccess,
+    aRange,
+    [](std::int64_t aNumber) { return Member(aNumber); });
+}
+
+/// A real number in an inclusive range.
+template<class T, class Access>
+Field<T>
+Real(std::string aKey,
+     Access aAccess,
+     double aLow,
+     double aHigh,
+     std::string aUnit,
+     std::string aHelp)
+{
+  T defaults{};
+  const std::string range =
+    schema_detail::ShowReal(aLow) + " to " + schema_detail::ShowReal(aHigh);
+  return { { std::move(aKey),
+             "number",
+             std::move(aUnit),
+             schema_detail::ShowReal(aAccess(defaults)),
+             range,
+             std::move(aHelp) },
+           false,
+           [=](T& aDocument, const TomlValue& aValue) -> std::optional<Error> {
+             double number = 0;
+             if (const auto* real = std::get_if<double>(&aValue)) {
+               number = *real;
+             } else if (const auto* whole =
+                          std::get_if<std::int64_t>(&aValue)) {
+               number = static_cast<double>(*whole);
+             } else {
+               return schema_detail::Expected("a number");
+             }
+             if (!(number >= aLow && number <= aHigh)) {
+               return schema_detail::OutOf(range);
+             }
+             aAccess(aDocument) = number;
+             return std::nullopt;
+           } };
+}
+
+/// A boolean, a string or a list of strings, by the type of the member.
+template<class T, class Access>
+Field<T>
+Plain(std::string aKey, Access aAccess, std::string aHelp)
+{
+  T defaults{};
+  using Member = std::remove_reference_t<decltype(aAccess(defaults))>;
+  std::string type = "string";
+  std::string shown;
+  if constexpr (std::is_same_v<Member, bool>) {
+    type = "boolean";
+    shown = aAccess(defaults) ? "true" : "false";
+  } else if constexpr (std::is_same_v<Member, std::string>) {
+    shown = "\"" + aAccess(defaults) + "\"";
+  } else {
+    type = "list of strings";
+    shown = schema_detail::ShowList(aAccess(defaults));
+  }
+  return { { std::move(aKey), type, "", shown, "", std::move(aHelp) },
+           false,
+           [=](T& aDocument, const TomlValue& aValue) -> std::optional<Error> {
+             const auto* value = std::get_if<Member>(&aValue);
+             if (value == nullptr) {
+               return schema_detail::Expected("a " + type);
+             }
+             aAccess(aDocument) = *value;
+             return std::nullopt;
+           } };
+}
+
+/// A string that must pass a parser, for example ParseEndpoint.
+template<class T, class Access, class Parse>
+Field<T>
+Parsed(std::string aKey,
+       std::string aType,
+       Access aAccess,
+       Parse aParse,
+       std::string aHelp)
+{
+  return { { std::move(aKey), std::move(aType), "", "", "", std::move(aHelp) },
+           false,
+           [=](T& aDocument, const TomlValue& aValue) -> std::optional<Error> {
+             const auto* text = std::get_if<std::string>(&aValue);
+             if (text == nullptr) {
+               return schema_detail::Expected("a string");
+             }
+             auto parsed = aParse(*text);
+             if (!Succeeded(parsed)) {
+               return Failure(parsed);
+             }
+             aAccess(aDocument) = Value(parsed);
+             return std::nullopt;
+           } };
+}
+
+/// A name out of a fixed set.
+template<class T, class E, class Access>
+Field<T>
+OneOf(std::string aKey,
+      Access aAccess,
+      std::vector<Choice<E>> aChoices,
+      std::string aHelp)
+{
+  T defaults{};
+  std::string names;
+  std::string shown;
+  for (const auto& choice : aChoices) {
+    names += (names.empty() ? "" : ", ") + std::string(choice.name);
+    if (choice.value == aAccess(defaults)) {
+      shown = "\"" + std::string(choice.name) + "\"";
+    }
+  }
+  return { { std::move(aKey), "string", "", shown, names, std::move(aHelp) },
+           false,
+           [=](T& aDocument, const TomlValue& aValue) -> std::optional<Error> {
+             const auto* text = std::get_if<std::string>(&aValue);
+             if (text == nullptr) {
+               return schema_detail::Expected("a string");
+             }
+             const auto found = std::ranges::find(
+               aChoices, std::string_view(*text), &Choice<E>::name);
+             if (found == aChoices.end()) {
+               return schema_detail::OutOf(names);
+             }
+             aAccess(aDocument) = found->value;
+             return std::nullopt;
+           } };
+}
+
+/// Marks a key that has no default.
+template<class T>
+Field<T>
+Required(Field<T> aField)
+{
+  aField.required = true;
+  aField.help.defaultValue = "required";
+  return aField;
+}
+
+/// Reads a document strictly: every key must be known, of its type and in
+/// range, and no required key may be absent.
+template<class T>
+Result<T>
+ReadDocument(const std::vector<Field<T>>& aSchema,
+             std::string_view aText,
+             std::string_view aFile)
+{
+  auto entries = ReadToml(aText, aFile);
+  if (!Succeeded(entries)) {
+    return Failure(entries);
+  }
+  T document{};
+  for (const TomlEntry& entry : Value(entries)) {
+    const auto field =
+      std::ranges::find_if(aSchema, [&](const Field<T>& aField) {
+        return aField.help.key == entry.key;
+      });
+    if (field == aSchema.end()) {
+      std::vector<std::string> known;
+      for (const auto& candidate : aSchema) {
+        known.push_back(candidate.help.key);
+      }
+      return schema_detail::UnknownKeyError(aFile, entry, known);
+    }
+    if (auto error = field->assign(document, entry.value)) {
+      return schema_detail::At(aFile, entry, *error);
+    }
+  }
+  for (const Field<T>& field : aSchema) {
+    const bool present =
+      std::ranges::any_of(Value(entries), [&](const TomlEntry& aEntry) {
+        return aEntry.key == field.help.key;
+      });
+    if (field.required && !present) {
+      return schema_detail::MissingKeyError(aFile, field.help.key);
+    }
+  }
+  return document;
+}
+
+/// Returns the reference table of a schema in Markdown.
+template<class T>
+std::string
+ReferenceTable(const std::vector<Field<T>>& aSchema)
+{
+  std::string page = "| key | type | unit | default | range | meaning |\n"
+                     "| --- | --- | --- | --- | --- | --- |\n";
+  for (const Field<T>& field : aSchema) {
+    const FieldHelp& help = field.help;
+    page += "| `" + help.key + "` | " + help.type + " | " + help.unit + " | " +
+            help.defaultValue + " | " + help.range + " | " + help.help + " |\n";
+  }
+  return page;
+}
+
+}
--- /dev/null
+++ b/include/baobab/core/toml_entry.hpp
@@ -0,0 +1,38 @@
+/// @file
+/// TOML documents as flat lists of dotted keys.
+#pragma once
+
+#include "baobab/core/result.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace baobab {
+
+using TomlValue = std::
+  variant<std::int64_t, double, bool, std::string, std::vector<std::string>>;
+
+/// One key with its value and its place in the file.
+struct TomlEntry
+{
+  /// Dotted key, for example `limits.queue_ms`.
+  std::string key;
+  TomlValue value;
+  std::uint32_t line = 0;
+  std::uint32_t column = 0;
+};
+
+/// Reads a document into entries, in the order of its keys.
+/// Fails with Syntax, or with WrongType for a value that no schema can hold.
+/// @param aText the document
+/// @param aFile its name in messages
+Result<std::vector<TomlEntry>> ReadToml(std::string_view aText,
+                                        std::string_view aFile);
+
+/// Returns `file:line:column`.
+std::string Place(std::string_view aFile, const TomlEntry& aEntry);
+
+}
--- /dev/null
+++ b/include/baobab/decision/call_plan.hpp
@@ -0,0 +1,43 @@
+/// @file
+/// Decides after each attempt whether a call is tried again.
+#pragma once
+
+#include "baobab/core/outcome.hpp"
+#include "baobab/decision/retry_budget.hpp"
+
+#include <cstdint>
+
+namespace baobab {
+
+enum class PlanStep : std::uint8_t
+{
+  Retry,
+  Finish,
+};
+
+/// The attempts of one call. A call ends as "not run" only if none of its
+/// attempts may have run.
+class CallPlan
+{
+public:
+  CallPlan(bool aIdempotent, std::int64_t aAttempts, TimePoint aDeadline);
+
+  /// Records the outcome of an attempt and decides what follows.
+  PlanStep OnOutcome(Outcome aOutcome, RetryBudget& aBudget, TimePoint aNow);
+
+  /// Outcome of the call so far.
+  const Outcome& Result() const { return this->result; }
+
+  std::int64_t Attempts() const { return this->attempts; }
+
+private:
+  bool MayRetry(const Outcome& aOutcome, RetryBudget& aBudget) const;
+
+  bool idempotent;
+  std::int64_t most;
+  TimePoint deadline;
+  std::int64_t attempts = 0;
+  Outcome result;
+};
+
+}
--- /dev/null
+++ b/include/baobab/decision/choice.hpp
@@ -0,0 +1,186 @@
+/// @file
+/// Policies that choose one target out of a list.
+#pragma once
+
+#include "baobab/core/random.hpp"
+#include "baobab/core/time.hpp"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <ranges>
+
+namespace baobab {
+
+/// A target as a policy sees it.
+struct TargetView
+{
+  /// Calls that run or wait per slot.
+  double utilisation = 0;
+  Duration latency = Duration::zero();
+  /// False if it must not be chosen now.
+  bool usable = true;
+};
+
+/// Looks up the view of the target at an index.
+template<class V>
+concept ViewLookup = requires(const V& aLookup, std::size_t aIndex) {
+  {
+    aLookup(aIndex)
+  } -> std::same_as<TargetView>;
+};
+
+/// Chooses an index below a count, or nothing if no target is usable.
+template<class P>
+concept ChoicePolicy = requires(P& aPolicy,
+                                std::size_t aCount,
+                                TargetView (&aLookup)(std::size_t),
+                                SplitMix& aRandom) {
+  {
+    aPolicy.Choose(aCount, aLookup, aRandom)
+  } -> std::same_as<std::optional<std::size_t>>;
+};
+
+/// Chooses among the usable targets with equal probability.
+struct RandomChoice
+{
+  template<ViewLookup V, RandomSource R>
+  std::optional<std::size_t> Choose(std::size_t aCount,
+                                    const V& aLookup,
+                                    R& aRandom) const
+  {
+    if (aCount == 0) {
+      return std::nullopt;
+    }
+    const std::size_t start = Below(aRandom, aCount);
+    for (const std::size_t step : std::views::iota(std::size_t{ 0 }, aCount)) {
+      const std::size_t index = (start + step) % aCount;
+      if (aLookup(index).usable) {
+        return index;
+      }
+    }
+    return std::nullopt;
+  }
+};
+
+/// Chooses the usable targets in turn.
+class RoundRobinChoice
+{
+public:
+  template<ViewLookup V, RandomSource R>
+  std::optional<std::size_t> Choose(std::size_t aCount,
+                                    const V& aLookup,
+                                    R& /*aRandom*/)
+  {
+    for (std::size_t tries = 0; tries < aCount; ++tries) {
+      const std::size_t index =
+        this->next.fetch_add(1, std::memory_order_relaxed) % aCount;
+      if (aLookup(index).usable) {
+        return index;
+      }
+    }
+    return std::nullopt;
+  }
+
+private:
+  std::atomic<std::size_t> next{ 0 };
+};
+
+/// Chooses the usable target with the lowest known utilisation.
+struct LeastKnownChoice
+{
+  template<ViewLookup V, RandomSource R>
+  std::optional<std::size_t> Choose(std::size_t aCount,
+                                    const V& aLookup,
+                                    R& /*aRandom*/) const
+  {
+    std::optional<std::size_t> best;
+    double lowest = 0;
+    for (const std::size_t index : std::views::iota(std::size_t{ 0 }, aCount)) {
+      const TargetView view = aLookup(index);
+      if (view.usable && (!best || view.utilisation < lowest)) {
+        best = index;
+        lowest = view.utilisation;
+      }
+    }
+    return best;
+  }
+};
+
+/// Power of d choices: samples a few targets, and takes the fastest of the
+/// cool ones, or the least utilised if all are hot.
+struct LoadAwareChoice
+{
+  static constexpr std::size_t kSamples = 4;
+  /// Utilisation from which a target counts as hot.
+  static constexpr double kHot = 0.7;
+  /// A latency this many times that of the fastest sample marks a straggler.
+  static constexpr int kStragglerFactor = 3;
+
+  template<ViewLookup V, RandomSource R>
+  std::optional<std::size_t> Choose(std::size_t aCount,
+                                    const V& aLookup,
+                                    R& aRandom) const
+  {
+    std::array<Sample, kSamples> samples;
+    const std::size_t taken = Draw(aCount, aLookup, aRandom, samples);
+    if (taken == 0) {
+      return RandomChoice{}.Choose(aCount, aLookup, aRandom);
+    }
+    const auto drawn =
+      std::ranges::subrange(samples.begin(), samples.begin() + taken);
+    const Duration fastest =
+      std::ranges::min(drawn, {}, &Sample::latency).latency;
+    const auto cool = [&](const Sample& aSample) {
+      return aSample.utilisation < kHot &&
+             aSample.latency <= fastest * kStragglerFactor;
+    };
+    const auto better = [&](const Sample& aLeft, const Sample& aRight) {
+      if (cool(aLeft) != cool(aRight)) {
+        return cool(aLeft);
+      }
+      return cool(aLeft) ? aLeft.latency < aRight.latency
+                         : aLeft.utilisation < aRight.utilisation;
+    };
+    return std::ranges::min_element(drawn, better)->index;
+  }
+
+private:
+  struct Sample
+  {
+    std::size_t index = 0;
+    double utilisation = 0;
+    Duration latency = Duration::zero();
+  };
+
+  template<ViewLookup V, RandomSource R>
+  static std::size_t Draw(std::size_t aCount,
+                          const V& aLookup,
+                          R& aRandom,
+                          std::array<Sample, kSamples>& aSamples)
+  {
+    if (aCount == 0) {
+      return 0;
+    }
+    std::size_t taken = 0;
+    for (std::size_t tries = 0; tries < 2 * kSamples && taken < kSamples;
+         ++tries) {
+      const std::size_t index = Below(aRandom, aCount);
+      const bool drawn = std::ranges::any_of(
+        aSamples.begin(), aSamples.begin() + taken, [&](const Sample& aSample) {
+          return aSample.index == index;
+        });
+      const TargetView view = aLookup(index);
+      if (!drawn && view.usable) {
+        aSamples[taken++] = { index, view.utilisation, view.latency };
+      }
+    }
+    return taken;
+  }
+};
+
+}
--- /dev/null
+++ b/include/baobab/decision/gossip_message.hpp
@@ -0,0 +1,45 @@
+/// @file
+#pragma once
+
+#include "baobab/decision/member.hpp"
+#include "baobab/decision/suspicion.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace baobab {
+
+enum class GossipKind : std::uint8_t
+{
+  Ping,
+  Ack,
+  /// Asks the receiver to ping `subject` and to pass its ack on.
+  PingRequest,
+  /// Spreads news without asking for an ack.
+  News,
+};
+
+/// One datagram between daemons.
+struct GossipMessage
+{
+  GossipKind kind = GossipKind::Ping;
+  std::uint32_t nonce = 0;
+  /// Generation of the configuration in force at the sender.
+  std::uint64_t generation = 0;
+  /// Combined hash of the sender's table; equal tables have equal digests.
+  std::uint64_t digest = 0;
+  MemberRecord sender;
+  std::optional<Endpoint> subject;
+  std::vector<MemberRecord> news;
+  std::vector<Suspicion> suspicions;
+};
+
+/// A datagram and where it goes.
+struct GossipSend
+{
+  Endpoint to;
+  GossipMessage message;
+};
+
+}
--- /dev/null
+++ b/include/baobab/decision/member.hpp
@@ -0,0 +1,39 @@
+/// @file
+#pragma once
+
+#include "baobab/core/endpoint.hpp"
+#include "baobab/core/locality.hpp"
+#include "baobab/core/target_state.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace baobab {
+
+/// How a daemon is seen. The order is the precedence within an incarnation.
+enum class MemberState : std::uint8_t
+{
+  Alive,
+  Suspect,
+  /// In a region that cannot be reached; kept and probed slowly.
+  Unreachable,
+  Dead,
+};
+
+/// One daemon and its target, as it is spread by gossip.
+struct MemberRecord
+{
+  Endpoint endpoint;
+  /// Raised by its owner with each start and each change.
+  std::uint64_t incarnation = 0;
+  MemberState state = MemberState::Alive;
+  Locality locality;
+  /// Service of the local target; empty if none was announced.
+  std::string service;
+  TargetState targetState = TargetState::None;
+  std::uint16_t slots = 0;
+
+  bool operator==(const MemberRecord&) const = default;
+};
+
+}
--- /dev/null
+++ b/include/baobab/decision/retry_budget.hpp
@@ -0,0 +1,34 @@
+/// @file
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+namespace baobab {
+
+/// Token bucket that first attempts fill and retries empty. Lock-free.
+class RetryBudget
+{
+public:
+  /// @param aRatio retries that each first attempt earns
+  /// @param aBurst retries that may be saved up; the bucket starts full
+  RetryBudget(double aRatio, std::int64_t aBurst);
+
+  /// Takes over new limits and keeps what was saved, up to the new burst.
+  void Configure(double aRatio, std::int64_t aBurst);
+
+  /// Counts a first attempt.
+  void Earn();
+
+  /// Takes one retry. Returns false if none is left.
+  bool Spend();
+
+private:
+  static constexpr std::int64_t kToken = 1000000;
+
+  std::atomic<std::int64_t> earned;
+  std::atomic<std::int64_t> limit;
+  std::atomic<std::int64_t> tokens;
+};
+
+}
--- /dev/null
+++ b/include/baobab/decision/target_load.hpp
@@ -0,0 +1,67 @@
+/// @file
+#pragma once
+
+#include "baobab/core/load_report.hpp"
+#include "baobab/core/time.hpp"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+
+namespace baobab {
+
+/// Typical values of a service's targets, for what is not known of one.
+struct PeerPrior
+{
+  /// Calls of other daemons in flight per slot.
+  double utilisation = 0;
+  Duration latency = Duration::zero();
+};
+
+/// What one daemon knows about the load of one target. Lock-free.
+class TargetLoad
+{
+public:
+  explicit TargetLoad(std::uint16_t aSlots = 1);
+
+  /// An attempt of this daemon was sent.
+  void Began();
+
+  /// An attempt of this daemon is over without a measured latency.
+  void Ended();
+
+  /// Records the latency of an attempt that was answered.
+  void Measured(Duration aLatency, TimePoint aNow);
+
+  /// Takes over a load report that just arrived.
+  void Report(const LoadReport& aReport, TimePoint aNow);
+
+  /// Calls that run or wait there, per slot, as estimated for now. A report
+  /// loses weight with its age and the prior takes its place.
+  double Utilisation(const PeerPrior& aPrior, TimePoint aNow) const;
+
+  /// Latency lately seen at about this utilisation; the prior's as it ages.
+  Duration Latency(double aUtilisation,
+                   const PeerPrior& aPrior,
+                   TimePoint aNow) const;
+
+  /// Calls of other daemons per slot, as last reported.
+  double OthersPerSlot() const;
+
+  std::int32_t OwnInFlight() const { return this->own.load(); }
+
+private:
+  static constexpr std::size_t kBands = 4;
+
+  static std::size_t BandOf(double aUtilisation);
+
+  std::atomic<std::int32_t> own{ 0 };
+  std::atomic<std::int32_t> others{ 0 };
+  std::atomic<std::int32_t> slots;
+  std::atomic<std::int64_t> reportedAt{ 0 };
+  /// Moving averages in nanoseconds by band of utilisation; 0 if unknown.
+  std::array<std::atomic<std::int64_t>, kBands> latencies{};
+  std::array<std::atomic<std::int64_t>, kBands> measuredAt{};
+};
+
+}
--- /dev/null
+++ b/include/baobab/load/experiment.hpp
@@ -0,0 +1,51 @@
+/// @file
+/// What a load experiment consists of.
+#pragma once
+
+#include "baobab/core/endpoint.hpp"
+#include "baobab/core/schema.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace baobab {
+
+/// One host name that is called, and its share of the calls.
+struct ServiceShare
+{
+  std::string host;
+  std::string path = "/";
+  double weight = 1;
+};
+
+/// An experiment file.
+struct Experiment
+{
+  std::int64_t seed = 1;
+  double rate = 100;
+  double seconds = 10;
+  /// Fraction of calls that are not idempotent.
+  double postFraction = 0.3;
+  std::int64_t bodyBytes = 64;
+  Millis timeout{ 5000 };
+  std::int64_t workers = 2;
+  std::vector<std::string> addresses;
+  std::vector<std::string> services;
+  /// Files in which the target stand-ins record what they ran.
+  std::vector<std::string> records;
+  /// Time after which a leaving target must receive nothing new.
+  Millis leaveGrace{ 5000 };
+};
+
+/// The keys of an experiment file.
+const std::vector<Field<Experiment>>& ExperimentSchema();
+
+/// Parses and checks an experiment file.
+Result<Experiment> ParseExperiment(std::string_view aText,
+                                   std::string_view aFile);
+
+/// Parses `host`, `host=weight` or `host/path=weight`.
+ServiceShare ParseShare(std::string_view aText);
+
+}
--- /dev/null
+++ b/include/baobab/net/http_client.hpp
@@ -0,0 +1,43 @@
+/// @file
+/// One HTTP/1.1 connection as a client.
+#pragma once
+
+#include "baobab/core/http_message.hpp"
+#include "baobab/core/result.hpp"
+#include "baobab/core/time.hpp"
+#include "baobab/net/socket.hpp"
+
+#include <memory>
+
+namespace baobab {
+
+/// A connection that carries one request at a time.
+class HttpClient
+{
+public:
+  /// Opens a connection. Fails with ConnectFailed or TimedOut.
+  static Result<std::unique_ptr<HttpClient>> Open(
+    boost::asio::io_context& aContext,
+    const Endpoint& aEndpoint,
+    Duration aTimeout);
+
+  virtual ~HttpClient() = default;
+
+  /// Sends a request and reads the whole answer. Fails with ConnectionLost,
+  /// TimedOut or TooLarge; after a failure the connection is closed.
+  /// @param aAnswerBytes largest body accepted
+  virtual Result<Response> Exchange(const Request& aRequest,
+                                    std::size_t aAnswerBytes,
+                                    Duration aTimeout) = 0;
+
+  /// True if the connection can carry another request.
+  virtual bool Reusable() = 0;
+
+  /// True if a byte of an answer was read in the last exchange.
+  virtual bool AnswerBegan() const = 0;
+
+  /// Closes the connection; a waiting exchange fails.
+  virtual void Close() = 0;
+};
+
+}
--- /dev/null
+++ b/include/baobab/net/http_server.hpp
@@ -0,0 +1,98 @@
+/// @file
+/// HTTP/1.1 connections towards callers, targets and operators.
+#pragma once
+
+#include "baobab/core/http_message.hpp"
+#include "baobab/core/time.hpp"
+#include "baobab/net/socket.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace baobab {
+
+struct HttpLimits
+{
+  std::size_t headerBytes = 16384;
+  Duration headerTime = 5s;
+  Duration bodyTime = 10s;
+  Duration idleTime = 60s;
+};
+
+/// A request line and its headers, before the body was read.
+struct HttpHead
+{
+  std::string_view method;
+  std::string_view target;
+  /// Host header without its port.
+  std::string_view host;
+};
+
+/// Why a request could not be read, as a response.
+enum class HttpFault : std::uint8_t
+{
+  Malformed,
+  HeaderTooLarge,
+  BodyTooLarge,
+  TooSlow,
+};
+
+/// What a server does with requests. Both functions run on a fiber of the
+/// connection's thread.
+struct HttpHandler
+{
+  /// Returns the largest body accepted for a request.
+  std::function<std::size_t(const HttpHead&)> bodyLimit;
+  /// Answers a whole request. `service` is empty, `Host` is a header.
+  std::function<Response(Request&&)> answer;
+  /// Answers a request that could not be read.
+  std::function<Response(HttpFault)> refuse;
+};
+
+/// Controls the connections of a server.
+class HttpGate
+{
+public:
+  explicit HttpGate(std::size_t aMostConnections)
+    : most(aMostConnections)
+  {
+  }
+
+  /// Ends keep-alive: each connection closes after its current answer.
+  void StopKeepAlive() { this->closing = true; }
+  bool Closing() const { return this->closing; }
+
+  bool Full() const { return this->open >= this->most; }
+  std::size_t Open() const { return this->open; }
+  /// Requests that are being answered.
+  std::size_t Busy() const { return this->busy; }
+
+  std::size_t open = 0;
+  std::size_t busy = 0;
+
+private:
+  std::size_t most;
+  bool closing = false;
+};
+
+/// Accepts connections until the acceptor closes; one fiber each. Answers on
+/// a connection leave in the order of their requests.
+void ServeHttp(Tcp::acceptor& aAcceptor,
+               const HttpLimits& aLimits,
+               const HttpHandler& aHandler,
+               HttpGate& aGate);
+
+/// Returns the value of a header, or an empty view.
+std::string_view FindHeader(const std::vector<HeaderField>& aHeaders,
+                            std::string_view aName);
+
+/// Returns a response with a text body.
+Response TextResponse(unsigned aStatus,
+                      std::string aBody,
+                      std::string_view aType = "text/plain; charset=utf-8");
+
+}
--- /dev/null
+++ b/include/baobab/net/socket.hpp
@@ -0,0 +1,43 @@
+/// @file
+/// Socket helpers for fibers.
+#pragma once
+
+#include "baobab/core/endpoint.hpp"
+#include "baobab/core/result.hpp"
+#include "baobab/core/time.hpp"
+#include "baobab/net/await.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+namespace baobab {
+
+using Tcp = boost::asio::ip::tcp;
+using Udp = boost::asio::ip::udp;
+
+/// Converts to Asio's type.
+Tcp::endpoint ToTcp(const Endpoint& aEndpoint);
+
+/// Converts to Asio's type.
+Udp::endpoint ToUdp(const Endpoint& aEndpoint);
+
+/// Converts from Asio's type.
+Endpoint FromUdp(const Udp::endpoint& aEndpoint);
+
+/// Opens a listening socket that may share its port with other workers.
+/// Fails with System.
+Result<Tcp::acceptor> Listen(boost::asio::io_context& aContext,
+                             const Endpoint& aEndpoint);
+
+/// Opens a connection without delayed sends.
+/// Fails with ConnectFailed or TimedOut.
+Result<Tcp::socket> Connect(boost::asio::io_context& aContext,
+                            const Endpoint& aEndpoint,
+                            Duration aTimeout);
+
+/// True if the other end has closed the connection or sent what nobody asked
+/// for; such a connection must not carry another request.
+bool IsStale(Tcp::socket& aSocket);
+
+}
--- /dev/null
+++ b/include/baobab/net/worker.hpp
@@ -0,0 +1,63 @@
+/// @file
+/// A thread with its own I/O context and fibers.
+#pragma once
+
+#include "baobab/net/fiber_scheduler.hpp"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <functional>
+#include <thread>
+
+namespace baobab {
+
+/// Runs fibers and I/O on one thread until it is stopped.
+class Worker
+{
+public:
+  Worker() = default;
+  Worker(const Worker&) = delete;
+  Worker& operator=(const Worker&) = delete;
+  ~Worker();
+
+  /// Starts the thread. @param aMain runs as its first fiber
+  void Start(std::function<void()> aMain);
+
+  /// Runs on the calling thread instead, until Stop.
+  void RunHere(std::function<void()> aMain);
+
+  /// Asks the thread to end; fibers that still run are abandoned at the end
+  /// of the process.
+  void Stop();
+
+  /// Runs a function as a new fiber of this worker, from any thread.
+  template<class F>
+  void Post(F aFunction)
+  {
+    boost::asio::post(
+      this->context, [function = std::move(aFunction)]() mutable {
+        boost::fibers::fiber(boost::fibers::launch::post, std::move(function))
+          .detach();
+      });
+  }
+
+  boost::asio::io_context& Context() { return this->context; }
+
+private:
+  boost::asio::io_context context{ 1 };
+  std::atomic<bool> stopping{ false };
+  std::thread thread;
+};
+
+/// Starts a fiber on the current thread.
+template<class F>
+void
+Spawn(F aFunction)
+{
+  boost::fibers::fiber(boost::fibers::launch::post, std::move(aFunction))
+    .detach();
+}
+
+}
--- /dev/null
+++ b/include/baobab/node/config_agent.hpp
@@ -0,0 +1,76 @@
+/// @file
+#pragma once
+
+#include "baobab/core/settings.hpp"
+#include "baobab/decision/membership.hpp"
+#include "baobab/net/frame_connection.hpp"
+#include "baobab/net/http_store.hpp"
+#include "baobab/node/control_pacer.hpp"
+#include "baobab/node/route_publisher.hpp"
+
+#include <functional>
+#include <optional>
+
+namespace baobab {
+
+/// Keeps the configuration at the newest generation: a few daemons of each
+/// availability zone watch the store, the others pull from peers. It belongs
+/// to the control thread.
+class ConfigAgent
+{
+public:
+  ConfigAgent(boost::asio::io_context& aContext,
+              Membership& aMembership,
+              RoutePublisher& aPublisher,
+              ControlPacer& aPacer,
+              const Settings& aSettings);
+
+  /// Runs until the process ends.
+  void Run();
+
+  /// Learns the generation of a peer and pulls it if it is newer.
+  void Hear(const Endpoint& aPeer, std::uint64_t aGeneration);
+
+  /// Answers a peer's request.
+  void Reply(const std::shared_ptr<FrameConnection>& aFrames,
+             const ConfigRequestMessage& aRequest);
+
+  /// True once a configuration is in force and the store was asked for a
+  /// newer one.
+  bool Ready() const { return this->askedStore && this->Generation() > 0; }
+
+  std::uint64_t Generation() const
+  {
+    return this->publisher.Current()->Generation();
+  }
+
+  /// Calls to the store since the start.
+  std::uint64_t StoreCalls() const { return this->store.Calls(); }
+
+  /// Called with the new generation after it is in force.
+  std::function<void(std::uint64_t)> onAdopted;
+
+private:
+  bool IsReader() const;
+  void ReadStore();
+  void WatchStore();
+  void Fetch(const StoredObject& aManifest);
+  Result<ConfigDelta> FetchChanges(const Manifest& aManifest);
+  void Pull(const Endpoint& aPeer);
+  Result<ConfigDelta> Request(const Endpoint& aPeer);
+  void Adopt(const ConfigDelta& aDelta, std::string_view aSource);
+
+  boost::asio::io_context& context;
+  Membership& membership;
+  RoutePublisher& publisher;
+  ControlPacer& pacer;
+  const Settings& settings;
+  HttpStore store;
+  ObjectVersion manifestVersion;
+  bool pulling = false;
+  bool askedStore = false;
+  TimePoint heardAt;
+  SplitMix random;
+};
+
+}
--- /dev/null
+++ b/include/baobab/node/gossip_agent.hpp
@@ -0,0 +1,88 @@
+/// @file
+#pragma once
+
+#include "baobab/core/settings.hpp"
+#include "baobab/decision/membership.hpp"
+#include "baobab/decision/quarantine.hpp"
+#include "baobab/net/frame_connection.hpp"
+#include "baobab/net/http_store.hpp"
+#include "baobab/node/control_pacer.hpp"
+
+#include <functional>
+
+namespace baobab {
+
+/// Datagrams sent and received since the start.
+struct GossipCounts
+{
+  std::uint64_t sent = 0;
+  std::uint64_t sentBytes = 0;
+  std::uint64_t received = 0;
+  std::uint64_t receivedBytes = 0;
+  std::uint64_t invalid = 0;
+  std::uint64_t leftOut = 0;
+  std::uint64_t exchanges = 0;
+};
+
+/// Carries gossip over UDP, full exchanges over TCP, and keeps the first
+/// peers in the store. It belongs to the control thread.
+class GossipAgent
+{
+public:
+  GossipAgent(boost::asio::io_context& aContext,
+              Membership& aMembership,
+              Quarantine& aQuarantine,
+              ControlPacer& aPacer,
+              const Settings& aSettings);
+
+  /// Opens the socket. Fails with System.
+  Result<Done> Open();
+
+  /// Reads datagrams until the process ends.
+  void Receive();
+
+  /// Runs the timers of the membership until the process ends.
+  void RunTimers();
+
+  /// Exchanges tables with random peers until the process ends.
+  void RunExchanges();
+
+  /// Finds first peers, and keeps them in the store, until the process ends.
+  void RunSeeds();
+
+  /// Sends datagrams as far as the budget allows.
+  void Send(std::vector<GossipSend> aSends);
+
+  /// Answers a peer's request for members.
+  void Reply(const std::shared_ptr<FrameConnection>& aFrames,
+             const TableRequestMessage& aRequest);
+
+  const GossipCounts& Counts() const { return this->counts; }
+  std::uint64_t StoreCalls() const { return this->store.Calls(); }
+
+  /// Called with each peer's generation.
+  std::function<void(const Endpoint&, std::uint64_t)> onGeneration;
+  /// Called after news that may change routes.
+  std::function<void()> onNews;
+
+private:
+  void Handle(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes);
+  void Exchange(const Endpoint& aPeer);
+  void ReadSeeds();
+  bool IsSeedWriter() const;
+  void WriteSeeds();
+  void GreetAll(std::string_view aText);
+
+  boost::asio::io_context& context;
+  Membership& membership;
+  Quarantine& quarantine;
+  ControlPacer& pacer;
+  const Settings& settings;
+  Udp::socket socket;
+  HttpStore store;
+  GossipCounts counts;
+  SplitMix random;
+  bool digestsDiffer = false;
+};
+
+}
--- /dev/null
+++ b/include/baobab/node/ingress.hpp
@@ -0,0 +1,76 @@
+/// @file
+#pragma once
+
+#include "baobab/core/settings.hpp"
+#include "baobab/decision/call_plan.hpp"
+#include "baobab/net/http_server.hpp"
+#include "baobab/node/call_stats.hpp"
+#include "baobab/node/link_pool.hpp"
+#include "baobab/node/rcu_cell.hpp"
+#include "baobab/node/target_chooser.hpp"
+
+#include <memory>
+
+namespace baobab {
+
+/// Answers callers on one worker: finds the service, chooses targets, retries
+/// within the budget and tells the caller how the call ended.
+class Ingress
+{
+public:
+  Ingress(boost::asio::io_context& aContext,
+          const RcuCell<RouteTable>& aRoutes,
+          LinkIdentity aIdentity,
+          const Settings& aSettings);
+
+  /// Handler for the HTTP server of this worker.
+  HttpHandler Handler();
+
+  const WorkerStats& Stats() const { return this->stats; }
+
+private:
+  using Route = std::shared_ptr<const ServiceRoute>;
+
+  /// One call on its way.
+  struct Call
+  {
+    Route route;
+    Request request;
+    bool idempotent = false;
+    TimePoint began;
+    TimePoint deadline;
+    /// Set while requests like this one are under suspicion.
+    std::optional<std::uint64_t> suspect;
+  };
+
+  Response Answer(Request&& aRequest);
+  Call Prepare(Route aRoute, Request&& aRequest) const;
+  Outcome Carry(const Call& aCall, ServiceStats& aStats);
+  ChosenTarget ChooseFor(const Call& aCall,
+                         const std::vector<Endpoint>& aTried);
+  Outcome Attempt(const Call& aCall, const ChosenTarget& aChosen);
+  Outcome AttemptHedged(const Call& aCall,
+                        const ChosenTarget& aChosen,
+                        const std::vector<Endpoint>& aTried);
+  void Learn(const Call& aCall,
+             TargetRef& aTarget,
+             const AttemptResult& aResult,
+             Duration aLatency);
+  Response Conclude(const Call& aCall,
+                    Outcome aOutcome,
+                    ServiceStats& aStats) const;
+
+  const RcuCell<RouteTable>& routes;
+  const Settings& settings;
+  LinkPool links;
+  SplitMix random;
+  WorkerStats stats;
+};
+
+/// Response for a call that was not run.
+Response NotRunResponse(const NotRun& aRefusal);
+
+/// Response for a call whose outcome is unknown.
+Response UnknownResponse(const OutcomeUnknown& aUnknown);
+
+}
--- /dev/null
+++ b/include/baobab/node/link_pool.hpp
@@ -0,0 +1,43 @@
+/// @file
+#pragma once
+
+#include "baobab/node/peer_link.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <unordered_map>
+
+namespace baobab {
+
+/// The links of one worker, one for each daemon that it calls.
+class LinkPool
+{
+public:
+  LinkPool(boost::asio::io_context& aContext,
+           LinkIdentity aIdentity,
+           const Timeouts& aTimeouts)
+    : context(aContext)
+    , identity(std::move(aIdentity))
+    , timeouts(aTimeouts)
+  {
+  }
+
+  /// Returns the link to a daemon.
+  std::shared_ptr<PeerLink> To(const Endpoint& aEndpoint)
+  {
+    auto& link = this->links[aEndpoint];
+    if (!link) {
+      link = std::make_shared<PeerLink>(
+        this->context, aEndpoint, this->identity, this->timeouts);
+    }
+    return link;
+  }
+
+private:
+  boost::asio::io_context& context;
+  LinkIdentity identity;
+  const Timeouts& timeouts;
+  std::unordered_map<Endpoint, std::shared_ptr<PeerLink>> links;
+};
+
+}
--- /dev/null
+++ b/include/baobab/node/peer_link.hpp
@@ -0,0 +1,84 @@
+/// @file
+#pragma once
+
+#include "baobab/core/settings.hpp"
+#include "baobab/decision/call_attempt.hpp"
+#include "baobab/net/frame_connection.hpp"
+#include "baobab/net/signal.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace baobab {
+
+/// Outcome of one attempt and the load that came with it.
+struct AttemptResult
+{
+  Outcome outcome;
+  std::optional<LoadReport> load;
+};
+
+/// Identity of the sending end of a worker's links.
+struct LinkIdentity
+{
+  std::uint64_t sender = 0;
+  std::string region;
+};
+
+/// Carries calls of one worker to one daemon over one connection at a time,
+/// and finds out what became of them when a connection is lost.
+class PeerLink : public std::enable_shared_from_this<PeerLink>
+{
+public:
+  PeerLink(boost::asio::io_context& aContext,
+           Endpoint aEndpoint,
+           LinkIdentity aIdentity,
+           const Timeouts& aTimeouts);
+
+  /// Runs one attempt; suspends the fiber until its outcome is known or its
+  /// deadline passed.
+  AttemptResult Run(const Request& aRequest,
+                    bool aIdempotent,
+                    TimePoint aDeadline);
+
+  /// Attempts whose outcome is not known yet.
+  std::size_t InFlight() const { return this->pending.size(); }
+
+private:
+  struct Pending
+  {
+    CallAttempt attempt;
+    const Request& request;
+    std::optional<LoadReport> load;
+    Signal finished;
+  };
+
+  void Perform(Pending& aPending, AttemptAction aAction);
+  void Maintain();
+  bool Connect();
+  bool ShakeHands();
+  void ReadUntilLost();
+  void Dispatch(PeerMessage& aMessage);
+  void Beat(std::shared_ptr<FrameConnection> aConnection);
+  Pending* Find(const CallId& aId);
+
+  template<class F>
+  void ForEachPending(F aEvent);
+
+  boost::asio::io_context& context;
+  Endpoint endpoint;
+  LinkIdentity identity;
+  const Timeouts& timeouts;
+  ConnectionNumber number = 0;
+  std::uint64_t nextSequence = 1;
+  std::uint64_t incarnation = 0;
+  bool maintained = false;
+  bool ready = false;
+  std::shared_ptr<FrameConnection> connection;
+  std::unordered_map<std::uint64_t, Pending*> pending;
+  TimePoint lastUsed;
+};
+
+}
--- /dev/null
+++ b/include/baobab/node/rcu_cell.hpp
@@ -0,0 +1,61 @@
+/// @file
+#pragma once
+
+#include <memory>
+#include <urcu/urcu-memb.h>
+
+namespace baobab {
+
+/// Registers a thread as a reader for its lifetime.
+class RcuThread
+{
+public:
+  RcuThread() { urcu_memb_register_thread(); }
+  RcuThread(const RcuThread&) = delete;
+  RcuThread& operator=(const RcuThread&) = delete;
+  ~RcuThread() { urcu_memb_unregister_thread(); }
+};
+
+/// A value that readers see as a whole while a writer replaces it. Readers
+/// take no lock; a read section must not span a fiber switch.
+template<class T>
+class RcuCell
+{
+public:
+  RcuCell()
+    : current(new T())
+  {
+  }
+
+  RcuCell(const RcuCell&) = delete;
+  RcuCell& operator=(const RcuCell&) = delete;
+  ~RcuCell() { delete this->current; }
+
+  /// Calls a function with the current value inside a read section. The
+  /// function must not suspend the fiber.
+  template<class F>
+  auto Read(F&& aFunction) const
+  {
+    struct Section
+    {
+      Section() { urcu_memb_read_lock(); }
+      ~Section() { urcu_memb_read_unlock(); }
+    };
+    const Section section;
+    return aFunction(static_cast<const T&>(*rcu_dereference(this->current)));
+  }
+
+  /// Replaces the value; returns once no reader sees the old one.
+  void Replace(std::unique_ptr<T> aNext)
+  {
+    T* old = this->current;
+    rcu_assign_pointer(this->current, aNext.release());
+    urcu_memb_synchronize_rcu();
+    delete old;
+  }
+
+private:
+  T* current;
+};
+
+}
--- /dev/null
+++ b/include/baobab/wire/peer_message.hpp
@@ -0,0 +1,135 @@
+/// @file
+/// Messages between daemons over TCP.
+#pragma once
+
+#include "baobab/core/call_id.hpp"
+#include "baobab/core/http_message.hpp"
+#include "baobab/core/load_report.hpp"
+#include "baobab/core/outcome.hpp"
+#include "baobab/core/time.hpp"
+#include "baobab/decision/call_ledger.hpp"
+#include "baobab/decision/configuration.hpp"
+#include "baobab/decision/member.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace baobab {
+
+/// First message on a connection, from its opener.
+struct HelloMessage
+{
+  std::uint64_t sender = 0;
+  ConnectionNumber connection = 0;
+  /// Region of the opener, which decides about load reports.
+  std::string region;
+};
+
+/// Answer to a Hello; calls may follow it.
+struct WelcomeMessage
+{
+  std::uint64_t incarnation = 0;
+};
+
+struct CallMessage
+{
+  CallId id;
+  Request request;
+  /// Time left when the message was sent.
+  Micros remaining{ 0 };
+  bool idempotent = false;
+};
+
+struct AnswerMessage
+{
+  CallId id;
+  Response response;
+  std::optional<LoadReport> load;
+};
+
+/// The call was not run and never will be.
+struct RefusalMessage
+{
+  CallId id;
+  NotRun refusal;
+  std::optional<LoadReport> load;
+};
+
+/// What became of the call is unknown at the target.
+struct LostMessage
+{
+  CallId id;
+};
+
+/// The call is running; its answer follows.
+struct RunningMessage
+{
+  CallId id;
+};
+
+/// Asks for the fate of a call that was sent on an older connection.
+struct AskMessage
+{
+  CallId id;
+  ConnectionNumber sentOn = 0;
+};
+
+/// The outcome arrived; its record can be dropped.
+struct ReleaseMessage
+{
+  CallId id;
+};
+
+/// The outcome is no longer wanted.
+struct CancelMessage
+{
+  CallId id;
+};
+
+struct HeartbeatMessage
+{
+  bool reply = false;
+};
+
+/// Asks for every configuration change after a generation.
+struct ConfigRequestMessage
+{
+  std::uint64_t generation = 0;
+};
+
+struct ConfigReplyMessage
+{
+  ConfigDelta delta;
+};
+
+/// Asks for the members of the buckets whose digests differ.
+struct TableRequestMessage
+{
+  std::vector<std::uint64_t> digests;
+};
+
+struct MemberListMessage
+{
+  std::vector<MemberRecord> members;
+};
+
+using PeerMessage = std::variant<HelloMessage,
+                                 WelcomeMessage,
+                                 CallMessage,
+                                 AnswerMessage,
+                                 RefusalMessage,
+                                 LostMessage,
+                                 RunningMessage,
+                                 AskMessage,
+                                 ReleaseMessage,
+                                 CancelMessage,
+                                 HeartbeatMessage,
+                                 ConfigRequestMessage,
+                                 ConfigReplyMessage,
+                                 TableRequestMessage,
+                                 MemberListMessage>;
+
+}
--- /dev/null
+++ b/src/baobab/core/service_test.cpp
@@ -0,0 +1,72 @@
+#include "baobab/core/service.hpp"
+#include "baobab/core/settings.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace baobab {
+
+BOOST_AUTO_TEST_SUITE(service_file)
+
+BOOST_AUTO_TEST_CASE(reads_a_minimal_file)
+{
+  const auto parsed = ParseService(
+    "name = 'quoting'\nrevision = 3\nhosts = ['q.example']\n", "quoting.toml");
+  BOOST_REQUIRE(Succeeded(parsed));
+  BOOST_TEST(Value(parsed).revision == 3);
+  BOOST_TEST(Matches(Value(parsed), "Q.Example", "/any"));
+  BOOST_TEST(!Matches(Value(parsed), "other.example", "/any"));
+}
+
+BOOST_AUTO_TEST_CASE(names_place_and_remedy_of_an_unknown_key)
+{
+  const auto parsed = ParseService(
+    "name = 'quoting'\nrevision = 3\ndeadline = 5\n", "quoting.toml");
+  BOOST_REQUIRE(!Succeeded(parsed));
+  BOOST_TEST((Failure(parsed).kind == ErrorKind::UnknownKey));
+  BOOST_TEST(Failure(parsed).message ==
+             "quoting.toml:3:12: unknown key 'deadline'");
+  BOOST_TEST(Failure(parsed).remedy.find("deadline_ms") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_wrong_types_ranges_and_missing_keys)
+{
+  const auto kind = [](std::string_view aText) {
+    return Failure(ParseService(aText, "s.toml")).kind;
+  };
+  BOOST_TEST((kind("name = 4\nrevision = 1\n") == ErrorKind::WrongType));
+  BOOST_TEST((kind("name = 'a'\nrevision = 0\n") == ErrorKind::OutOfRange));
+  BOOST_TEST((kind("revision = 1\n") == ErrorKind::MissingKey));
+  BOOST_TEST((kind("name = 'a'\nrevision = 1\n") == ErrorKind::MissingKey));
+  BOOST_TEST((kind("name = \n") == ErrorKind::Syntax));
+  BOOST_TEST((kind("name='a'\nrevision=1\nhosts=['h']\n[measuring]\n"
+                   "bytes_per_second=5\ncross_region_bytes_per_second=6\n") ==
+              ErrorKind::OutOfRange));
+}
+
+BOOST_AUTO_TEST_CASE(service_file_overrides_the_method)
+{
+  ServiceSpec service;
+  service.idempotentPaths = { "/search" };
+  service.nonIdempotentPaths = { "/count" };
+  BOOST_TEST(IsIdempotent(service, "GET", "/quote"));
+  BOOST_TEST(!IsIdempotent(service, "POST", "/quote"));
+  BOOST_TEST(IsIdempotent(service, "POST", "/search?q=1"));
+  BOOST_TEST(!IsIdempotent(service, "GET", "/count/up"));
+}
+
+BOOST_AUTO_TEST_CASE(settings_must_leave_room_for_two_heartbeats)
+{
+  const std::string base = "[listen]\ncallers='127.0.0.1:1'\n"
+                           "peers='127.0.0.1:2'\nadmin='127.0.0.1:3'\n"
+                           "[store]\naddress='127.0.0.1:4'\n"
+                           "[locality]\nregion='r'\navailability_zone='z'\n";
+  BOOST_TEST(Succeeded(ParseSettings(base, "d.toml")));
+  const auto parsed = ParseSettings(
+    base + "[timeouts]\nheartbeat_ms=600\nsilence_ms=1000\n", "d.toml");
+  BOOST_REQUIRE(!Succeeded(parsed));
+  BOOST_TEST((Failure(parsed).kind == ErrorKind::OutOfRange));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- /dev/null
+++ b/src/baobab/core/settings.cpp
@@ -0,0 +1,182 @@
+#include "baobab/core/settings.hpp"
+
+namespace baobab {
+namespace {
+
+using S = Settings;
+
+constexpr IntegerRange kTimeout{ 10, 600000 };
+
+template<class Access>
+Field<S>
+EndpointField(std::string aKey, Access aAccess, std::string aHelp)
+{
+  return Required(Parsed<S>(
+    std::move(aKey), "endpoint", aAccess, ParseEndpoint, std::move(aHelp)));
+}
+
+template<class Access>
+Field<S>
+TimeoutField(std::string aName, Access aAccess, std::string aHelp)
+{
+  return Time<S>(
+    "timeouts." + aName, aAccess, kTimeout, "ms", std::move(aHelp));
+}
+
+Result<std::string>
+ParseLogLevel(const std::string& aText)
+{
+  constexpr std::string_view kLevels[] = {
+    "debug", "info", "warning", "error"
+  };
+  if (std::ranges::find(kLevels, aText) == std::end(kLevels)) {
+    return Error{ ErrorKind::OutOfRange,
+                  "",
+                  "allowed: debug, info, warning, error" };
+  }
+  return aText;
+}
+
+std::vector<Field<S>>
+BuildSchema()
+{
+  return {
+    EndpointField(
+      "listen.callers",
+      [](S& s) -> auto& { return s.callers; },
+      "Address on which callers are answered."),
+    EndpointField(
+      "listen.peers",
+      [](S& s) -> auto& { return s.peers; },
+      "Address for other daemons, TCP and UDP; it is also announced."),
+    EndpointField(
+      "listen.admin",
+      [](S& s) -> auto& { return s.admin; },
+      "Loopback address for announcements, health and metrics."),
+    EndpointField(
+      "store.address",
+      [](S& s) -> auto& { return s.store; },
+      "Address of the object store."),
+    Required(Plain<S>(
+      "locality.region",
+      [](S& s) -> auto& { return s.locality.region; },
+      "Region of the host.")),
+    Required(Plain<S>(
+      "locality.availability_zone",
+      [](S& s) -> auto& { return s.locality.zone; },
+      "Availability zone of the host.")),
+    Integer<S>(
+      "workers",
+      [](S& s) -> auto& { return s.workers; },
+      { 1, 64 },
+      "threads",
+      "Threads that serve callers."),
+    Integer<S>(
+      "target_connections",
+      [](S& s) -> auto& { return s.targetConnections; },
+      { 1, 10000 },
+      "connections",
+      "Open connections to the local target at most."),
+    Integer<S>(
+      "caller_connections",
+      [](S& s) -> auto& { return s.callerConnections; },
+      { 1, 1000000 },
+      "connections",
+      "Open caller connections at most."),
+    Integer<S>(
+      "header_bytes",
+      [](S& s) -> auto& { return s.headerBytes; },
+      { 1024, 1 << 20 },
+      "bytes",
+      "Largest request header."),
+    OneOf<S, std::string>(
+      "log.format",
+      [](S& s) -> auto& { return s.logFormat; },
+      { { "json", "json" }, { "text", "text" } },
+      "Form of the log lines."),
+    Parsed<S>(
+      "log.level",
+      "string",
+      [](S& s) -> auto& { return s.logLevel; },
+      ParseLogLevel,
+      "Lowest level that is logged: debug, info (default), warning, error."),
+    TimeoutField(
+      "caller_header_ms",
+      [](S& s) -> auto& { return s.timeouts.callerHeader; },
+      "Time for a caller to send a whole header."),
+    TimeoutField(
+      "caller_body_ms",
+      [](S& s) -> auto& { return s.timeouts.callerBody; },
+      "Time for a caller to send a whole body, or to take an answer."),
+    TimeoutField(
+      "caller_idle_ms",
+      [](S& s) -> auto& { return s.timeouts.callerIdle; },
+      "Time that a caller connection may stay without a request."),
+    TimeoutField(
+      "connect_ms",
+      [](S& s) -> auto& { return s.timeouts.connect; },
+      "Time for a connection to open."),
+    TimeoutField(
+      "heartbeat_ms",
+      [](S& s) -> auto& { return s.timeouts.heartbeat; },
+      "Pause between heartbeats on a link with calls in flight."),
+    TimeoutField(
+      "silence_ms",
+      [](S& s) -> auto& { return s.timeouts.silence; },
+      "Silence after which a link counts as lost."),
+    TimeoutField(
+      "announcement_ms",
+      [](S& s) -> auto& { return s.timeouts.announcement; },
+      "Silence after which the local target has lapsed."),
+    TimeoutField(
+      "drain_ms",
+      [](S& s) -> auto& { return s.timeouts.drain; },
+      "Time that a shutdown waits for calls in flight."),
+    Integer<S>(
+      "control.bytes_per_second",
+      [](S& s) -> auto& { return s.control.bytesPerSecond; },
+      { 1024, 1 << 24 },
+      "bytes/s",
+      "Gossip, configuration and status traffic that this daemon sends."),
+    Integer<S>(
+      "control.readers_per_zone",
+      [](S& s) -> auto& { return s.control.readersPerZone; },
+      { 1, 16 },
+      "daemons",
+      "Daemons of an availability zone that watch the store."),
+    Time<S>(
+      "control.probe_ms",
+      [](S& s) -> auto& { return s.control.probePeriod; },
+      { 50, 60000 },
+      "ms",
+      "Period of membership probes."),
+  };
+}
+
+}
+
+const std::vector<Field<Settings>>&
+SettingsSchema()
+{
+  static const std::vector<Field<Settings>> schema = BuildSchema();
+  return schema;
+}
+
+Result<Settings>
+ParseSettings(std::string_view aText, std::string_view aFile)
+{
+  auto parsed = ReadDocument(SettingsSchema(), aText, aFile);
+  if (!Succeeded(parsed)) {
+    return parsed;
+  }
+  const Timeouts& timeouts = Value(parsed).timeouts;
+  if (timeouts.silence < 2 * timeouts.heartbeat) {
+    return Error{ ErrorKind::OutOfRange,
+                  std::string(aFile) +
+                    ":1:1: 'timeouts.silence_ms' is below two heartbeats",
+                  "raise it or lower 'timeouts.heartbeat_ms'" };
+  }
+  return parsed;
+}
+
+}
--- /dev/null
+++ b/src/baobab/decision/breaker.cpp
@@ -0,0 +1,61 @@
+#include "baobab/decision/breaker.hpp"
+
+namespace baobab {
+namespace {
+
+std::int64_t
+Nanos(TimePoint aTime)
+{
+  return aTime.time_since_epoch() / 1ns;
+}
+
+}
+
+bool
+Breaker::IsOpen(TimePoint aNow) const
+{
+  return this->openUntil.load(std::memory_order_relaxed) > Nanos(aNow);
+}
+
+bool
+Breaker::TryPass(TimePoint aNow)
+{
+  std::int64_t until = this->openUntil.load(std::memory_order_relaxed);
+  if (until == 0) {
+    return true;
+  }
+  if (until > Nanos(aNow)) {
+    return false;
+  }
+  // The probe that wins the exchange holds the others back meanwhile.
+  return this->openUntil.compare_exchange_strong(until,
+                                                 Nanos(aNow + kOpenTime));
+}
+
+void
+Breaker::Succeeded()
+{
+  if (this->failures.load(std::memory_order_relaxed) != 0) {
+    this->failures = 0;
+  }
+  if (this->openUntil.load(std::memory_order_relaxed) != 0) {
+    this->openUntil = 0;
+  }
+}
+
+void
+Breaker::Failed(TimePoint aNow)
+{
+  const std::int32_t count = this->failures.fetch_add(1) + 1;
+  if (count >= kFailuresToOpen) {
+    this->openUntil = Nanos(aNow + kOpenTime);
+  }
+}
+
+void
+Breaker::HoldBack(TimePoint aNow, Duration aTime)
+{
+  this->openUntil = Nanos(aNow + aTime);
+}
+
+}
--- /dev/null
+++ b/src/baobab/decision/byte_budget.cpp
@@ -0,0 +1,58 @@
+#include "baobab/decision/byte_budget.hpp"
+
+#include <algorithm>
+
+namespace baobab {
+namespace {
+
+constexpr std::int64_t kBurstPart = 4;
+
+}
+
+ByteBudget::ByteBudget(std::int64_t aBytesPerSecond)
+  : rate(aBytesPerSecond)
+{
+}
+
+void
+ByteBudget::SetRate(std::int64_t aBytesPerSecond)
+{
+  this->rate = aBytesPerSecond;
+}
+
+bool
+ByteBudget::Charge(std::int64_t aBytes, TimePoint aNow)
+{
+  const std::int64_t whole = this->rate.load(std::memory_order_relaxed);
+  const std::int64_t burst = whole / kBurstPart;
+  const std::int64_t flow = whole - burst;
+  if (aBytes > burst || flow <= 0) {
+    return aBytes == 0;
+  }
+  const auto nanos = [&](std::int64_t aCount) {
+    return static_cast<std::int64_t>(static_cast<double>(aCount) * 1e9 /
+                                     static_cast<double>(flow)) +
+           1;
+  };
+  const std::int64_t now = aNow.time_since_epoch() / 1ns;
+  std::int64_t used = this->usedUntil.load(std::memory_order_relaxed);
+  while (true) {
+    const std::int64_t next = std::max(used, now) + nanos(aBytes);
+    if (next - now > nanos(burst)) {
+      return false;
+    }
+    if (this->usedUntil.compare_exchange_weak(
+          used, next, std::memory_order_relaxed)) {
+      this->spent.fetch_add(aBytes, std::memory_order_relaxed);
+      return true;
+    }
+  }
+}
+
+std::int64_t
+ShareOf(std::int64_t aFleetRate, std::int64_t aDaemons, bool aSettled)
+{
+  return aSettled ? aFleetRate / std::max<std::int64_t>(aDaemons, 1) : 0;
+}
+
+}
--- /dev/null
+++ b/src/baobab/decision/call_attempt.cpp
@@ -0,0 +1,100 @@
+#include "baobab/decision/call_attempt.hpp"
+
+namespace baobab {
+
+CallAttempt::CallAttempt(CallId aId, bool aIdempotent, TimePoint aDeadline)
+  : id(aId)
+  , idempotent(aIdempotent)
+  , deadline(aDeadline)
+{
+}
+
+AttemptAction
+CallAttempt::OnWelcome(std::uint64_t aIncarnation, ConnectionNumber aConnection)
+{
+  if (this->outcome) {
+    return AttemptAction::Wait;
+  }
+  if (!this->sentOn) {
+    this->sentOn = aConnection;
+    this->sentTo = aIncarnation;
+    return AttemptAction::SendCall;
+  }
+  if (this->sentTo != aIncarnation) {
+    return this->End(
+      OutcomeUnknown{ "the target's daemon restarted during the call" });
+  }
+  return AttemptAction::SendAsk;
+}
+
+AttemptAction
+CallAttempt::OnConnectionLost()
+{
+  return this->outcome ? AttemptAction::Wait : AttemptAction::Reconnect;
+}
+
+AttemptAction
+CallAttempt::OnConnectFailed()
+{
+  if (this->outcome) {
+    return AttemptAction::Wait;
+  }
+  if (!this->sentOn) {
+    return this->End(
+      NotRun{ RefusalReason::Unreachable, "no connection to the target" });
+  }
+  if (this->idempotent) {
+    return this->End(
+      OutcomeUnknown{ "the connection was lost during the call" });
+  }
+  return AttemptAction::Reconnect;
+}
+
+AttemptAction
+CallAttempt::OnRunning()
+{
+  return AttemptAction::Wait;
+}
+
+AttemptAction
+CallAttempt::OnAnswer(Response aResponse)
+{
+  return this->outcome ? AttemptAction::Wait
+                       : this->End(Answered{ std::move(aResponse) });
+}
+
+AttemptAction
+CallAttempt::OnRefusal(NotRun aRefusal)
+{
+  return this->outcome ? AttemptAction::Wait : this->End(std::move(aRefusal));
+}
+
+AttemptAction
+CallAttempt::OnLost()
+{
+  return this->outcome
+           ? AttemptAction::Wait
+           : this->End(OutcomeUnknown{ "the target failed during the call" });
+}
+
+AttemptAction
+CallAttempt::OnDeadline()
+{
+  if (this->outcome) {
+    return AttemptAction::Wait;
+  }
+  if (!this->sentOn) {
+    return this->End(
+      NotRun{ RefusalReason::Expired, "the deadline passed before sending" });
+  }
+  return this->End(OutcomeUnknown{ "the deadline passed during the call" });
+}
+
+AttemptAction
+CallAttempt::End(Outcome aOutcome)
+{
+  this->outcome = std::move(aOutcome);
+  return AttemptAction::Finish;
+}
+
+}
--- /dev/null
+++ b/src/baobab/decision/retry_budget.cpp
@@ -0,0 +1,45 @@
+#include "baobab/decision/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace baobab {
+
+RetryBudget::RetryBudget(double aRatio, std::int64_t aBurst)
+  : earned(static_cast<std::int64_t>(aRatio * kToken))
+  , limit(aBurst * kToken)
+  , tokens(aBurst * kToken)
+{
+}
+
+void
+RetryBudget::Configure(double aRatio, std::int64_t aBurst)
+{
+  this->earned = static_cast<std::int64_t>(aRatio * kToken);
+  this->limit = aBurst * kToken;
+}
+
+void
+RetryBudget::Earn()
+{
+  const std::int64_t most = this->limit.load(std::memory_order_relaxed);
+  const std::int64_t gain = this->earned.load(std::memory_order_relaxed);
+  std::int64_t now = this->tokens.load(std::memory_order_relaxed);
+  while (!this->tokens.compare_exchange_weak(
+    now, std::min(most, now + gain), std::memory_order_relaxed)) {
+  }
+}
+
+bool
+RetryBudget::Spend()
+{
+  std::int64_t now = this->tokens.load(std::memory_order_relaxed);
+  while (now >= kToken) {
+    if (this->tokens.compare_exchange_weak(
+          now, now - kToken, std::memory_order_relaxed)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}
--- /dev/null
+++ b/src/baobab/load/experiment.cpp
@@ -0,0 +1,129 @@
+#include "baobab/load/experiment.hpp"
+
+#include <cstdlib>
+
+namespace baobab {
+namespace {
+
+using E = Experiment;
+
+std::vector<Field<E>>
+BuildSchema()
+{
+  return {
+    Integer<E>(
+      "seed",
+      [](E& e) -> auto& { return e.seed; },
+      { 0, 1LL << 52U },
+      "",
+      "Seed of arrivals and mixes."),
+    Real<E>(
+      "rate",
+      [](E& e) -> auto& { return e.rate; },
+      0.1,
+      1e6,
+      "calls/s",
+      "Mean rate of the Poisson arrivals."),
+    Real<E>(
+      "seconds",
+      [](E& e) -> auto& { return e.seconds; },
+      0.1,
+      86400,
+      "s",
+      "Length of the experiment."),
+    Real<E>(
+      "post_fraction",
+      [](E& e) -> auto& { return e.postFraction; },
+      0,
+      1,
+      "fraction",
+      "Calls that are not idempotent."),
+    Integer<E>(
+      "body_bytes",
+      [](E& e) -> auto& { return e.bodyBytes; },
+      { 0, 1 << 20 },
+      "bytes",
+      "Size of request bodies."),
+    Time<E>(
+      "timeout_ms",
+      [](E& e) -> auto& { return e.timeout; },
+      { 1, 600000 },
+      "ms",
+      "Time that a caller waits."),
+    Integer<E>(
+      "workers",
+      [](E& e) -> auto& { return e.workers; },
+      { 1, 16 },
+      "threads",
+      "Threads that make calls."),
+    Required(Plain<E>(
+      "addresses",
+      [](E& e) -> auto& { return e.addresses; },
+      "Addresses that are called, with equal shares.")),
+    Required(Plain<E>(
+      "services",
+      [](E& e) -> auto& { return e.services; },
+      "Host names with shares: host, host=2 or host/path=2.")),
+    Plain<E>(
+      "records",
+      [](E& e) -> auto& { return e.records; },
+      "Records of the target stand-ins, to reconcile with."),
+    Time<E>(
+      "leave_grace_ms",
+      [](E& e) -> auto& { return e.leaveGrace; },
+      { 0, 60000 },
+      "ms",
+      "Time in which a leaving target may still get new work."),
+  };
+}
+
+}
+
+const std::vector<Field<Experiment>>&
+ExperimentSchema()
+{
+  static const std::vector<Field<Experiment>> schema = BuildSchema();
+  return schema;
+}
+
+Result<Experiment>
+ParseExperiment(std::string_view aText, std::string_view aFile)
+{
+  auto parsed = ReadDocument(ExperimentSchema(), aText, aFile);
+  if (!Succeeded(parsed)) {
+    return parsed;
+  }
+  for (const std::string& address : Value(parsed).addresses) {
+    auto endpoint = ParseEndpoint(address);
+    if (!Succeeded(endpoint)) {
+      return Error{ ErrorKind::OutOfRange,
+                    std::string(aFile) + ":1:1: " + Failure(endpoint).message,
+                    Failure(endpoint).remedy };
+    }
+  }
+  if (Value(parsed).addresses.empty() || Value(parsed).services.empty()) {
+    return Error{ ErrorKind::OutOfRange,
+                  std::string(aFile) + ":1:1: nothing to call",
+                  "name at least one address and one service" };
+  }
+  return parsed;
+}
+
+ServiceShare
+ParseShare(std::string_view aText)
+{
+  ServiceShare share;
+  const auto equals = aText.find('=');
+  if (equals != std::string_view::npos) {
+    share.weight = std::atof(std::string(aText.substr(equals + 1)).c_str());
+    aText = aText.substr(0, equals);
+  }
+  const auto slash = aText.find('/');
+  share.host = aText.substr(0, slash);
+  if (slash != std::string_view::npos) {
+    share.path = aText.substr(slash);
+  }
+  return share;
+}
+
+}
--- /dev/null
+++ b/src/baobab/net/fiber_scheduler.cpp
@@ -0,0 +1,82 @@
+#include "baobab/net/fiber_scheduler.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/fiber/scheduler.hpp>
+
+namespace baobab {
+namespace {
+
+namespace asio = boost::asio;
+namespace fibers = boost::fibers;
+
+/// Round robin over ready fibers; sleeps inside the I/O context.
+class ContextScheduler : public fibers::algo::algorithm
+{
+public:
+  explicit ContextScheduler(asio::io_context& aContext)
+    : context(aContext)
+    , work(asio::make_work_guard(aContext))
+  {
+  }
+
+  void awakened(fibers::context* aFiber) noexcept override
+  {
+    aFiber->ready_link(this->ready);
+  }
+
+  fibers::context* pick_next() noexcept override
+  {
+    if (this->ready.empty()) {
+      return nullptr;
+    }
+    // A long run of ready fibers must not keep the sockets waiting.
+    if (++this->picked % kPicksPerPoll == 0) {
+      this->context.poll();
+    }
+    fibers::context* fiber = &this->ready.front();
+    this->ready.pop_front();
+    return fiber;
+  }
+
+  bool has_ready_fibers() const noexcept override
+  {
+    return !this->ready.empty();
+  }
+
+  void suspend_until(
+    const std::chrono::steady_clock::time_point& aTime) noexcept override
+  {
+    if (aTime == std::chrono::steady_clock::time_point::max()) {
+      this->context.run_one();
+    } else {
+      this->context.run_one_until(aTime);
+    }
+    this->context.poll();
+  }
+
+  void notify() noexcept override
+  {
+    asio::post(this->context, [] {});
+  }
+
+private:
+  static constexpr unsigned kPicksPerPoll = 64;
+
+  asio::io_context& context;
+  asio::executor_work_guard<asio::io_context::executor_type> work;
+  fibers::scheduler::ready_queue_type ready;
+  unsigned picked = 0;
+};
+
+}
+
+void
+UseFiberScheduler(asio::io_context& aContext)
+{
+  fibers::use_scheduling_algorithm<ContextScheduler>(aContext);
+}
+
+}
--- /dev/null
+++ b/src/baobab/net/frame_connection.cpp
@@ -0,0 +1,157 @@
+#include "baobab/net/frame_connection.hpp"
+
+#include "baobab/wire/peer_codec.hpp"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <cstring>
+
+namespace baobab {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kReadBytes = 16384;
+
+/// Unsent bytes at which a connection counts as lost.
+constexpr std::size_t kLargestBacklog = 128U << 20U;
+
+}
+
+FrameConnection::FrameConnection(Tcp::socket aSocket)
+  : socket(std::move(aSocket))
+  , incoming(kReadBytes)
+{
+  boost::system::error_code error;
+  this->socket.set_option(Tcp::no_delay(true), error);
+  this->socket.non_blocking(true, error);
+}
+
+void
+FrameConnection::Send(const PeerMessage& aMessage)
+{
+  if (!this->IsOpen()) {
+    return;
+  }
+  if (this->unansweredSince == TimePoint{}) {
+    this->unansweredSince = std::chrono::steady_clock::now();
+  }
+  AppendFrame(aMessage, this->outgoing);
+  if (this->outgoing.size() > kLargestBacklog) {
+    this->Close();
+    return;
+  }
+  if (!this->flushing) {
+    this->flushing = true;
+    asio::post(this->socket.get_executor(),
+               [self = this->shared_from_this()] { self->Flush(); });
+  }
+}
+
+void
+FrameConnection::Flush()
+{
+  this->writing.clear();
+  if (!this->IsOpen() || this->outgoing.empty()) {
+    this->flushing = false;
+    return;
+  }
+  std::swap(this->writing, this->outgoing);
+  boost::system::error_code error;
+  const std::size_t sent =
+    this->socket.write_some(asio::buffer(this->writing), error);
+  if (error && error != asio::error::would_block) {
+    this->Close();
+    this->flushing = false;
+    return;
+  }
+  if (sent == this->writing.size()) {
+    this->Flush();
+    return;
+  }
+  asio::async_write(this->socket,
+                    asio::buffer(this->writing) + sent,
+                    [self = this->shared_from_this()](auto aError, auto) {
+                      if (aError) {
+                        self->Close();
+                      }
+                      self->Flush();
+                    });
+}
+
+Result<PeerMessage>
+FrameConnection::Read()
+{
+  while (this->IsOpen()) {
+    const std::size_t available = this->filled - this->readPosition;
+    std::size_t wanted = kFrameHeaderBytes;
+    if (available >= kFrameHeaderBytes) {
+      const auto length =
+        FrameLength(std::span<const std::uint8_t, kFrameHeaderBytes>(
+          this->incoming.data() + this->readPosition, kFrameHeaderBytes));
+      if (!Succeeded(length)) {
+        this->Close();
+        return Failure(length);
+      }
+      wanted += Value(length);
+      if (available >= wanted) {
+        return this->TakeFrame(Value(length));
+      }
+    }
+    if (this->readPosition > 0) {
+      std::memmove(this->incoming.data(),
+                   this->incoming.data() + this->readPosition,
+                   available);
+      this->readPosition = 0;
+      this->filled = available;
+    }
+    if (this->incoming.size() < wanted) {
+      this->incoming.resize(wanted);
+    }
+    const IoResult result = Await([&](auto aHandler) {
+      this->socket.async_read_some(asio::buffer(this->incoming) + this->filled,
+                                   aHandler);
+    });
+    if (!result) {
+      this->Close();
+      return Error{ ErrorKind::ConnectionLost, result.error.message(), "" };
+    }
+    this->filled += result.bytes;
+    this->unansweredSince = TimePoint{};
+  }
+  return Error{ ErrorKind::ConnectionLost, "the connection was closed", "" };
+}
+
+Result<PeerMessage>
+FrameConnection::TakeFrame(std::size_t aLength)
+{
+  this->frame.resize(aLength / sizeof(std::uint64_t) + 1);
+  std::memcpy(this->frame.data(),
+              this->incoming.data() + this->readPosition + kFrameHeaderBytes,
+              aLength);
+  this->readPosition += kFrameHeaderBytes + aLength;
+  auto message = DecodeFrame(
+    { reinterpret_cast<const std::uint8_t*>(this->frame.data()), aLength });
+  if (!Succeeded(message)) {
+    this->Close();
+  }
+  return message;
+}
+
+void
+FrameConnection::Close()
+{
+  boost::system::error_code error;
+  this->socket.close(error);
+}
+
+TimePoint
+FrameConnection::UnansweredSince() const
+{
+  return this->unansweredSince == TimePoint{} ? std::chrono::steady_clock::now()
+                                              : this->unansweredSince;
+}
+
+}
--- /dev/null
+++ b/src/baobab/net/http_client.cpp
@@ -0,0 +1,124 @@
+#include "baobab/net/http_client.hpp"
+
+#include "http_convert.hpp"
+
+#include <boost/beast/core.hpp>
+
+namespace baobab {
+namespace {
+
+namespace beast = boost::beast;
+
+class BeastClient : public HttpClient
+{
+public:
+  BeastClient(Tcp::socket aSocket, std::string aHost)
+    : stream(std::move(aSocket))
+    , host(std::move(aHost))
+  {
+  }
+
+  Result<Response> Exchange(const Request& aRequest,
+                            std::size_t aAnswerBytes,
+                            Duration aTimeout) override
+  {
+    this->answerBegan = false;
+    this->keepAlive = false;
+    this->stream.expires_after(aTimeout);
+    http::request<http::span_body<const char>> message;
+    message.method_string(aRequest.method);
+    message.target(aRequest.target);
+    for (const HeaderField& field : aRequest.headers) {
+      message.insert(field.name, field.value);
+    }
+    if (message.find(http::field::host) == message.end()) {
+      message.set(http::field::host, this->host);
+    }
+    message.body() = { aRequest.body.data(), aRequest.body.size() };
+    if (!aRequest.body.empty() || aRequest.method == "POST" ||
+        aRequest.method == "PUT" || aRequest.method == "PATCH") {
+      message.content_length(aRequest.body.size());
+    }
+    const IoResult written = Await([&](auto aHandler) {
+      http::async_write(this->stream, message, aHandler);
+    });
+    if (!written) {
+      return this->Fail(written.error);
+    }
+    return this->ReadAnswer(aRequest.method, aAnswerBytes);
+  }
+
+  bool Reusable() override
+  {
+    return this->keepAlive && this->buffer.size() == 0 &&
+           !IsStale(this->stream.socket());
+  }
+
+  bool AnswerBegan() const override { return this->answerBegan; }
+
+  void Close() override { this->stream.close(); }
+
+private:
+  Result<Response> ReadAnswer(std::string_view aMethod,
+                              std::size_t aAnswerBytes)
+  {
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(aAnswerBytes);
+    parser.skip(aMethod == "HEAD");
+    IoResult read;
+    do {
+      read = Await([&](auto aHandler) {
+        http::async_read_some(this->stream, this->buffer, parser, aHandler);
+      });
+      this->answerBegan = this->answerBegan || parser.got_some();
+    } while (read && !parser.is_done());
+    if (read.error && parser.is_done() == false) {
+      return this->Fail(read.error);
+    }
+    this->keepAlive = parser.keep_alive();
+    this->stream.expires_never();
+    http::response<http::string_body> message = parser.release();
+    Response response{ message.result_int(), EndToEndHeaders(message), "" };
+    response.body = std::move(message.body());
+    return response;
+  }
+
+  Error Fail(const beast::error_code& aError)
+  {
+    this->stream.close();
+    if (aError == beast::error::timeout) {
+      return { ErrorKind::TimedOut, "no answer in time", "" };
+    }
+    if (aError == http::error::body_limit) {
+      return { ErrorKind::TooLarge,
+               "the answer is larger than its limit",
+               "raise 'limits.answer_bytes'" };
+    }
+    return { ErrorKind::ConnectionLost,
+             "the connection was lost: " + aError.message(),
+             "" };
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  std::string host;
+  bool keepAlive = true;
+  bool answerBegan = false;
+};
+
+}
+
+Result<std::unique_ptr<HttpClient>>
+HttpClient::Open(boost::asio::io_context& aContext,
+                 const Endpoint& aEndpoint,
+                 Duration aTimeout)
+{
+  auto socket = Connect(aContext, aEndpoint, aTimeout);
+  if (!Succeeded(socket)) {
+    return Failure(socket);
+  }
+  return std::make_unique<BeastClient>(std::move(Value(socket)),
+                                       ToString(aEndpoint));
+}
+
+}
--- /dev/null
+++ b/src/baobab/net/http_convert.cpp
@@ -0,0 +1,31 @@
+#include "http_convert.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace baobab {
+
+bool
+IsHopByHop(std::string_view aName)
+{
+  constexpr std::array<std::string_view, 9> kNames = {
+    "connection", "keep-alive",       "transfer-encoding",
+    "te",         "trailer",          "upgrade",
+    "expect",     "proxy-connection", "content-length",
+  };
+  return std::ranges::any_of(kNames, [&](std::string_view aKnown) {
+    return std::ranges::equal(aKnown, aName, {}, {}, ::tolower);
+  });
+}
+
+bool
+HasNoBody(std::string_view aMethod, unsigned aStatus)
+{
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return aMethod == "HEAD" || aStatus == kNoContent ||
+         aStatus == kNotModified || aStatus < 200;
+}
+
+}
--- /dev/null
+++ b/src/baobab/net/http_server.cpp
@@ -0,0 +1,295 @@
+#include "baobab/net/http_server.hpp"
+
+#include "baobab/net/worker.hpp"
+#include "http_convert.hpp"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <cctype>
+
+namespace baobab {
+namespace {
+
+namespace beast = boost::beast;
+
+using Parser = http::request_parser<http::string_body>;
+
+constexpr std::size_t kReadBytes = 16384;
+
+/// Bytes that a client may still send after a refusal, so that it can read
+/// the refusal before the connection closes.
+constexpr std::size_t kLingerBytes = 1 << 20;
+constexpr Duration kLingerTime = 1s;
+
+std::string_view
+View(beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+std::string_view
+WithoutPort(std::string_view aHost)
+{
+  return aHost.substr(0, aHost.find(':'));
+}
+
+HttpFault
+FaultOf(const beast::error_code& aError)
+{
+  if (aError == http::error::body_limit) {
+    return HttpFault::BodyTooLarge;
+  }
+  if (aError == http::error::header_limit) {
+    return HttpFault::HeaderTooLarge;
+  }
+  if (aError == beast::error::timeout) {
+    return HttpFault::TooSlow;
+  }
+  return HttpFault::Malformed;
+}
+
+/// True if the client is gone rather than wrong.
+bool
+IsGone(const beast::error_code& aError)
+{
+  return aError == http::error::end_of_stream ||
+         aError == http::error::partial_message ||
+         (aError.category() !=
+            http::make_error_code(http::error::bad_method).category() &&
+          aError != beast::error::timeout);
+}
+
+/// One connection and its fiber.
+class Connection
+{
+public:
+  Connection(Tcp::socket aSocket,
+             const HttpLimits& aLimits,
+             const HttpHandler& aHandler,
+             HttpGate& aGate)
+    : stream(std::move(aSocket))
+    , limits(aLimits)
+    , handler(aHandler)
+    , gate(aGate)
+  {
+  }
+
+  void Run()
+  {
+    while (this->WaitForRequest() && this->ServeOne()) {
+    }
+    beast::error_code error;
+    this->stream.socket().shutdown(Tcp::socket::shutdown_both, error);
+    this->stream.close();
+  }
+
+private:
+  bool WaitForRequest()
+  {
+    if (this->gate.Closing()) {
+      return false;
+    }
+    if (this->buffer.size() > 0) {
+      return true;
+    }
+    this->stream.expires_after(this->limits.idleTime);
+    const IoResult result = Await([&](auto aHandler) {
+      this->stream.async_read_some(this->buffer.prepare(kReadBytes), aHandler);
+    });
+    this->buffer.commit(result.bytes);
+    return static_cast<bool>(result);
+  }
+
+  bool ServeOne()
+  {
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
+    parser.body_limit(boost::none);
+    this->stream.expires_after(this->limits.headerTime);
+    IoResult result = Await([&](auto aHandler) {
+      http::async_read_header(this->stream, this->buffer, parser, aHandler);
+    });
+    if (!result) {
+      return this->Refuse(result.error);
+    }
+    if (!this->PrepareBody(parser)) {
+      return false;
+    }
+    this->stream.expires_after(this->limits.bodyTime);
+    if (!parser.is_done()) {
+      result = Await([&](auto aHandler) {
+        http::async_read(this->stream, this->buffer, parser, aHandler);
+      });
+      if (!result) {
+        return this->Refuse(result.error);
+      }
+    }
+    this->stream.expires_never();
+    return this->Answer(parser.release());
+  }
+
+  /// Applies the body limit and answers `Expect: 100-continue`.
+  bool PrepareBody(Parser& aParser)
+  {
+    const auto& head = aParser.get();
+    const std::size_t limit =
+      this->handler.bodyLimit({ View(head.method_string()),
+                                View(head.target()),
+                                WithoutPort(View(head[http::field::host])) });
+    const auto length = aParser.content_length();
+    if (length && *length > limit) {
+      this->Refuse(http::error::body_limit);
+      return false;
+    }
+    aParser.body_limit(limit);
+    if (!beast::iequals(head[http::field::expect], "100-continue")) {
+      return true;
+    }
+    http::response<http::empty_body> proceed{ http::status::continue_,
+                                              head.version() };
+    return static_cast<bool>(Await([&](auto aHandler) {
+      http::async_write(this->stream, proceed, aHandler);
+    }));
+  }
+
+  bool Answer(http::request<http::string_body> aMessage)
+  {
+    const bool keepAlive = aMessage.keep_alive();
+    const unsigned version = aMessage.version();
+    Request request{ "",
+                     std::string(View(aMessage.method_string())),
+                     std::string(View(aMessage.target())),
+                     EndToEndHeaders(aMessage),
+                     std::move(aMessage.body()) };
+    const std::string method = request.method;
+    ++this->gate.busy;
+    Response response = this->handler.answer(std::move(request));
+    const bool written = this->Write(
+      std::move(response), method, version, keepAlive && !this->gate.Closing());
+    --this->gate.busy;
+    return written && keepAlive && !this->gate.Closing();
+  }
+
+  bool Write(Response aResponse,
+             std::string_view aMethod,
+             unsigned aVersion,
+             bool aKeepAlive)
+  {
+    http::response<http::string_body> message;
+    message.version(aVersion);
+    message.result(aResponse.status);
+    for (const HeaderField& field : aResponse.headers) {
+      message.insert(field.name, field.value);
+    }
+    message.keep_alive(aKeepAlive);
+    if (!HasNoBody(aMethod, aResponse.status)) {
+      message.body() = std::move(aResponse.body);
+      message.content_length(message.body().size());
+    } else if (aMethod == "HEAD") {
+      message.content_length(aResponse.body.size());
+    }
+    this->stream.expires_after(this->limits.bodyTime);
+    http::response_serializer<http::string_body> serializer(message);
+    const IoResult result = Await([&](auto aHandler) {
+      http::async_write(this->stream, serializer, aHandler);
+    });
+    return static_cast<bool>(result);
+  }
+
+  bool Refuse(const beast::error_code& aError)
+  {
+    if (IsGone(aError)) {
+      return false;
+    }
+    constexpr unsigned kHttp11 = 11;
+    this->Write(this->handler.refuse(FaultOf(aError)), "GET", kHttp11, false);
+    this->Linger();
+    return false;
+  }
+
+  /// Discards what the client still sends; closing at once would reset the
+  /// connection before the client has read the refusal.
+  void Linger()
+  {
+    beast::error_code error;
+    this->stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+    this->stream.expires_after(kLingerTime);
+    std::size_t discarded = 0;
+    while (discarded < kLingerBytes) {
+      this->buffer.clear();
+      const IoResult result = Await([&](auto aHandler) {
+        this->stream.async_read_some(this->buffer.prepare(kReadBytes),
+                                     aHandler);
+      });
+      if (!result) {
+        return;
+      }
+      discarded += result.bytes;
+    }
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  const HttpLimits& limits;
+  const HttpHandler& handler;
+  HttpGate& gate;
+};
+
+/// Pause after a failed accept, for example with no descriptor left.
+constexpr Duration kAcceptPause = 20ms;
+
+}
+
+void
+ServeHttp(Tcp::acceptor& aAcceptor,
+          const HttpLimits& aLimits,
+          const HttpHandler& aHandler,
+          HttpGate& aGate)
+{
+  while (aAcceptor.is_open()) {
+    Tcp::socket socket(aAcceptor.get_executor());
+    const IoResult accepted =
+      Await([&](auto aDone) { aAcceptor.async_accept(socket, aDone); });
+    if (!accepted) {
+      if (accepted.error == boost::asio::error::operation_aborted) {
+        return;
+      }
+      boost::asio::steady_timer pause(aAcceptor.get_executor(), kAcceptPause);
+      Await([&](auto aDone) { pause.async_wait(aDone); });
+      continue;
+    }
+    if (aGate.Full()) {
+      continue;
+    }
+    beast::error_code error;
+    socket.set_option(Tcp::no_delay(true), error);
+    auto connection =
+      std::make_unique<Connection>(std::move(socket), aLimits, aHandler, aGate);
+    ++aGate.open;
+    Spawn([connection = std::move(connection), &aGate] {
+      connection->Run();
+      --aGate.open;
+    });
+  }
+}
+
+std::string_view
+FindHeader(const std::vector<HeaderField>& aHeaders, std::string_view aName)
+{
+  const auto found =
+    std::ranges::find_if(aHeaders, [&](const HeaderField& aField) {
+      return std::ranges::equal(aField.name, aName, {}, ::tolower, ::tolower);
+    });
+  return found == aHeaders.end() ? std::string_view() : found->value;
+}
+
+Response
+TextResponse(unsigned aStatus, std::string aBody, std::string_view aType)
+{
+  return { aStatus,
+           { { "Content-Type", std::string(aType) } },
+           std::move(aBody) };
+}
+
+}
--- /dev/null
+++ b/src/baobab/net/http_store.cpp
@@ -0,0 +1,173 @@
+#include "baobab/net/http_store.hpp"
+
+#include "baobab/net/http_server.hpp"
+
+#include <sstream>
+
+namespace baobab {
+namespace {
+
+constexpr std::size_t kLargestObject = 2U << 20U;
+constexpr Duration kConnectTime = 1s;
+constexpr std::string_view kObjects = "/v1/objects/";
+
+Error
+Unavailable(const std::string& aWhat)
+{
+  return { ErrorKind::StoreUnavailable,
+           "the object store cannot be used: " + aWhat,
+           "check the store and 'store.address'; try again later" };
+}
+
+Error
+Unexpected(const Response& aResponse)
+{
+  return Unavailable("it answered with status " +
+                     std::to_string(aResponse.status));
+}
+
+Request
+ObjectRequest(std::string_view aMethod, std::string_view aKey)
+{
+  Request request;
+  request.method = aMethod;
+  request.target = std::string(kObjects) + std::string(aKey);
+  return request;
+}
+
+StoredObject
+ToObject(Response& aResponse)
+{
+  return { std::move(aResponse.body),
+           std::string(FindHeader(aResponse.headers, "ETag")) };
+}
+
+}
+
+HttpStore::HttpStore(boost::asio::io_context& aContext,
+                     Endpoint aEndpoint,
+                     Duration aTimeout)
+  : context(aContext)
+  , endpoint(aEndpoint)
+  , timeout(aTimeout)
+{
+}
+
+Result<std::optional<StoredObject>>
+HttpStore::Get(std::string_view aKey)
+{
+  auto response = this->Send(ObjectRequest("GET", aKey), this->timeout);
+  if (!Succeeded(response)) {
+    return Failure(response);
+  }
+  switch (Value(response).status) {
+    case 200:
+      return ToObject(Value(response));
+    case 404:
+      return std::nullopt;
+    default:
+      return Unexpected(Value(response));
+  }
+}
+
+Result<ObjectVersion>
+HttpStore::Put(std::string_view aKey,
+               std::string_view aValue,
+               const PutCondition& aCondition)
+{
+  Request request = ObjectRequest("PUT", aKey);
+  request.body = aValue;
+  if (aCondition.version.empty()) {
+    request.headers.push_back({ "If-None-Match", "*" });
+  } else {
+    request.headers.push_back({ "If-Match", aCondition.version });
+  }
+  auto response = this->Send(request, this->timeout);
+  if (!Succeeded(response)) {
+    if (this->sent) {
+      return Error{ ErrorKind::OutcomeUnknown,
+                    "no answer to a write of '" + std::string(aKey) + "'",
+                    "read the object to learn whether it took effect" };
+    }
+    return Failure(response);
+  }
+  switch (Value(response).status) {
+    case 200:
+    case 201:
+      return std::string(FindHeader(Value(response).headers, "ETag"));
+    case 412:
+      return Error{ ErrorKind::Conflict,
+                    "object '" + std::string(aKey) + "' was changed meanwhile",
+                    "read it and try again" };
+    default:
+      return Unexpected(Value(response));
+  }
+}
+
+Result<std::optional<StoredObject>>
+HttpStore::Watch(std::string_view aKey,
+                 std::string_view aVersion,
+                 Duration aTime)
+{
+  Request request = ObjectRequest("GET", aKey);
+  request.target +=
+    "?watch_ms=" + std::to_string(aTime / std::chrono::milliseconds(1));
+  request.headers.push_back({ "If-None-Match", std::string(aVersion) });
+  auto response = this->Send(request, aTime + this->timeout);
+  if (!Succeeded(response)) {
+    return Failure(response);
+  }
+  switch (Value(response).status) {
+    case 200:
+      return ToObject(Value(response));
+    case 304:
+    case 404:
+      return std::nullopt;
+    default:
+      return Unexpected(Value(response));
+  }
+}
+
+Result<std::vector<std::string>>
+HttpStore::List(std::string_view aPrefix)
+{
+  Request request;
+  request.method = "GET";
+  request.target = "/v1/keys?prefix=" + std::string(aPrefix);
+  auto response = this->Send(request, this->timeout);
+  if (!Succeeded(response)) {
+    return Failure(response);
+  }
+  if (Value(response).status != 200) {
+    return Unexpected(Value(response));
+  }
+  std::vector<std::string> keys;
+  std::istringstream lines(Value(response).body);
+  for (std::string line; std::getline(lines, line);) {
+    keys.push_back(line);
+  }
+  return keys;
+}
+
+Result<Response>
+HttpStore::Send(const Request& aRequest, Duration aTimeout)
+{
+  ++this->calls;
+  this->sent = false;
+  if (!this->client || !this->client->Reusable()) {
+    auto opened = HttpClient::Open(this->context, this->endpoint, kConnectTime);
+    if (!Succeeded(opened)) {
+      return Unavailable(Failure(opened).message);
+    }
+    this->client = std::move(Value(opened));
+  }
+  this->sent = true;
+  auto response = this->client->Exchange(aRequest, kLargestObject, aTimeout);
+  if (!Succeeded(response)) {
+    this->client.reset();
+    return Unavailable(Failure(response).message);
+  }
+  return std::move(Value(response));
+}
+
+}
--- /dev/null
+++ b/src/baobab/net/socket.cpp
@@ -0,0 +1,87 @@
+#include "baobab/net/socket.hpp"
+
+#include "baobab/net/timeout.hpp"
+
+#include <sys/socket.h>
+
+namespace baobab {
+namespace {
+
+namespace asio = boost::asio;
+using ReusePort =
+  asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+constexpr int kBacklog = 4096;
+
+}
+
+Tcp::endpoint
+ToTcp(const Endpoint& aEndpoint)
+{
+  return { asio::ip::address_v4(aEndpoint.address), aEndpoint.port };
+}
+
+Udp::endpoint
+ToUdp(const Endpoint& aEndpoint)
+{
+  return { asio::ip::address_v4(aEndpoint.address), aEndpoint.port };
+}
+
+Endpoint
+FromUdp(const Udp::endpoint& aEndpoint)
+{
+  return { aEndpoint.address().to_v4().to_uint(), aEndpoint.port() };
+}
+
+Result<Tcp::acceptor>
+Listen(asio::io_context& aContext, const Endpoint& aEndpoint)
+{
+  Tcp::acceptor acceptor(aContext);
+  boost::system::error_code error;
+  acceptor.open(Tcp::v4(), error);
+  acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  acceptor.set_option(ReusePort(true), error);
+  acceptor.bind(ToTcp(aEndpoint), error);
+  if (!error) {
+    acceptor.listen(kBacklog, error);
+  }
+  if (error) {
+    return Error{ ErrorKind::System,
+                  "cannot listen on " + ToString(aEndpoint) + ": " +
+                    error.message(),
+                  "free the address or change it in the settings file" };
+  }
+  return acceptor;
+}
+
+Result<Tcp::socket>
+Connect(asio::io_context& aContext,
+        const Endpoint& aEndpoint,
+        Duration aTimeout)
+{
+  Tcp::socket socket(aContext);
+  const Timeout timeout(socket, aTimeout);
+  const IoResult result = Await(
+    [&](auto aHandler) { socket.async_connect(ToTcp(aEndpoint), aHandler); });
+  if (!result) {
+    return Error{ timeout.Expired() ? ErrorKind::TimedOut
+                                    : ErrorKind::ConnectFailed,
+                  "cannot connect to " + ToString(aEndpoint) + ": " +
+                    result.error.message(),
+                  "" };
+  }
+  boost::system::error_code error;
+  socket.set_option(Tcp::no_delay(true), error);
+  return socket;
+}
+
+bool
+IsStale(Tcp::socket& aSocket)
+{
+  char byte = 0;
+  const auto count = ::recv(
+    aSocket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+}
--- /dev/null
+++ b/src/baobab/node/call_server.cpp
@@ -0,0 +1,397 @@
+#include "baobab/node/call_server.hpp"
+
+#include "baobab/core/random.hpp"
+#include "baobab/core/result.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/worker.hpp"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+namespace baobab {
+namespace {
+
+constexpr std::string_view kChannel = "admission";
+
+/// Bytes that a load report adds to a message.
+constexpr std::int64_t kReportBytes = 12;
+
+/// Time in which broken connections are taken for one crash.
+constexpr Duration kCrashWindow = 20ms;
+
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+AdmissionLimits
+LimitsOf(const ServiceSpec& aSpec, const Settings& aSettings)
+{
+  return { static_cast<std::size_t>(aSpec.limits.queueLength),
+           aSpec.limits.queueTime,
+           aSpec.ramp,
+           aSettings.timeouts.announcement };
+}
+
+}
+
+CallServer::CallServer(TargetClient& aTarget,
+                       Quarantine& aQuarantine,
+                       RouteLookup aLookup,
+                       const Settings& aSettings)
+  : target(aTarget)
+  , quarantine(aQuarantine)
+  , lookup(std::move(aLookup))
+  , settings(aSettings)
+{
+}
+
+bool
+CallServer::Open(const SenderConnection& aConnection)
+{
+  const OpenedConnection opened =
+    this->ledger.Open(aConnection.sender, aConnection.number);
+  if (!opened.accepted) {
+    return false;
+  }
+  SenderConnection& current = this->senders[aConnection.sender];
+  if (opened.retired && current.frames) {
+    // Closing discards what the retired connection may still hold.
+    current.frames->Close();
+    this->ledger.Close(aConnection.sender, *opened.retired, Now());
+  }
+  current = aConnection;
+  return true;
+}
+
+void
+CallServer::Close(const SenderConnection& aConnection)
+{
+  this->ledger.Close(aConnection.sender, aConnection.number, Now());
+  const auto found = this->senders.find(aConnection.sender);
+  if (found != this->senders.end() &&
+      found->second.number == aConnection.number) {
+    this->senders.erase(found);
+  }
+}
+
+void
+CallServer::OnCall(const SenderConnection& aConnection, CallMessage aCall)
+{
+  const TimePoint deadline = Now() + aCall.remaining;
+  if (!this->ledger.Admit(aCall.id, aConnection.number, deadline)) {
+    return;
+  }
+  this->Decide(std::move(aCall), deadline);
+}
+
+void
+CallServer::Decide(CallMessage aCall, TimePoint aDeadline)
+{
+  const CallId id = aCall.id;
+  if (this->leaving) {
+    this->Refuse(id, { RefusalReason::Leaving, "the daemon shuts down" });
+    return;
+  }
+  if (aCall.request.service != this->admission.Service()) {
+    this->Refuse(id,
+                 { RefusalReason::WrongService, "another service runs here" });
+    return;
+  }
+  const auto route = this->lookup(aCall.request.service);
+  if (route && this->quarantine.Size() > 0) {
+    const Verdict verdict =
+      this->quarantine.Judge(FingerprintOf(aCall.request),
+                             route->service->spec.quarantine.threshold,
+                             Now());
+    if (verdict == Verdict::Refuse) {
+      this->Refuse(id,
+                   { RefusalReason::Quarantined,
+                     "requests like this one crash the targets" });
+      return;
+    }
+    if (verdict == Verdict::Isolate && this->AnotherSuspectRuns()) {
+      this->Refuse(id,
+                   { RefusalReason::Overloaded,
+                     "another request under suspicion is running" });
+      return;
+    }
+  }
+  if (route) {
+    this->admission.SetLimits(LimitsOf(route->service->spec, this->settings));
+  }
+  const AdmissionAnswer answer = this->admission.Offer(id, aDeadline, Now());
+  std::visit(
+    Overloaded{
+      [&](const StartNow&) { this->Start(std::move(aCall), aDeadline); },
+      [&](const Queued&) {
+        this->waiting.emplace(id, Waiting{ std::move(aCall), aDeadline });
+      },
+      [&](const NotRun& aRefusal) { this->Refuse(id, aRefusal); },
+    },
+    answer);
+}
+
+void
+CallServer::OnAsk(const SenderConnection& aConnection, const AskMessage& aAsk)
+{
+  const Fate fate = this->ledger.Ask(aAsk.id, aAsk.sentOn);
+  FrameConnection& frames = *aConnection.frames;
+  std::visit(
+    Overloaded{
+      [&](const FateNotRun&) {
+        if (this->admission.Withdraw(aAsk.id)) {
+          this->waiting.erase(aAsk.id);
+        }
+        frames.Send(RefusalMessage{
+          aAsk.id,
+          { RefusalReason::Fenced, "the call was lost on the way" },
+          std::nullopt });
+      },
+      [&](const FateRunning&) { frames.Send(RunningMessage{ aAsk.id }); },
+      [&](const FateDone& aDone) {
+        frames.Send(AnswerMessage{ aAsk.id, aDone.response, std::nullopt });
+      },
+      [&](const FateUnknown&) { frames.Send(LostMessage{ aAsk.id }); },
+    },
+    fate);
+}
+
+void
+CallServer::OnRelease(const ReleaseMessage& aRelease)
+{
+  this->ledger.Release(aRelease.id);
+}
+
+void
+CallServer::OnCancel(const CancelMessage& aCancel)
+{
+  if (this->admission.Withdraw(aCancel.id)) {
+    this->waiting.erase(aCancel.id);
+    this->Refuse(aCancel.id, { RefusalReason::Cancelled, "cancelled" });
+    return;
+  }
+  const auto found = this->running.find(aCancel.id);
+  if (found != this->running.end() && found->second.connection != nullptr) {
+    found->second.cancelled = true;
+    found->second.connection->Close();
+  }
+}
+
+void
+CallServer::Announce(const Announcement& aAnnouncement,
+                     const Endpoint& aAddress)
+{
+  this->target.SetEndpoint(aAddress);
+  this->Settle(this->admission.Announce(aAnnouncement, Now()));
+}
+
+void
+CallServer::Tick()
+{
+  this->Settle(this->admission.Tick(Now()));
+  this->ledger.Expire(Now());
+  this->quarantine.Expire(Now());
+}
+
+void
+CallServer::StartLeaving()
+{
+  this->leaving = true;
+  std::vector<CallId> ids;
+  std::ranges::transform(this->waiting,
+                         std::back_inserter(ids),
+                         [](const auto& aItem) { return aItem.first; });
+  for (const CallId& id : ids) {
+    this->admission.Withdraw(id);
+    this->waiting.erase(id);
+    this->Refuse(id, { RefusalReason::Leaving, "the daemon shuts down" });
+  }
+}
+
+std::size_t
+CallServer::InFlight() const
+{
+  return this->running.size() + this->waiting.size();
+}
+
+TargetState
+CallServer::State() const
+{
+  return this->leaving ? TargetState::Leaving : this->admission.State();
+}
+
+void
+CallServer::Settle(std::vector<Dequeued> aDequeued)
+{
+  for (const Dequeued& dequeued : aDequeued) {
+    const auto found = this->waiting.find(dequeued.id);
+    if (found == this->waiting.end()) {
+      continue;
+    }
+    Waiting waiting = std::move(found->second);
+    this->waiting.erase(found);
+    if (const auto* refusal = std::get_if<NotRun>(&dequeued.answer)) {
+      this->Refuse(dequeued.id, *refusal);
+    } else {
+      this->Start(std::move(waiting.call), waiting.deadline);
+    }
+  }
+}
+
+void
+CallServer::Refuse(const CallId& aId, NotRun aRefusal)
+{
+  this->ledger.Refuse(aId);
+  if (SenderConnection* connection = this->ConnectionOf(aId)) {
+    connection->frames->Send(
+      RefusalMessage{ aId, std::move(aRefusal), this->ChargedReport(aId) });
+  }
+}
+
+void
+CallServer::Start(CallMessage aCall, TimePoint aDeadline)
+{
+  if (!this->ledger.Start(aCall.id)) {
+    this->Settle(this->admission.Abandon(Now()));
+    return;
+  }
+  Spawn([this, call = std::move(aCall), aDeadline] {
+    this->RunCall(call, aDeadline);
+  });
+}
+
+void
+CallServer::RunCall(const CallMessage& aCall, TimePoint aDeadline)
+{
+  const Fingerprint fingerprint = FingerprintOf(aCall.request);
+  const auto route = this->lookup(aCall.request.service);
+  const ServiceSpec spec = route ? route->service->spec : ServiceSpec{};
+  Running& state = this->running[aCall.id];
+  state.fingerprint = fingerprint;
+  state.suspect =
+    this->quarantine.Size() > 0 &&
+    this->quarantine.Judge(fingerprint, spec.quarantine.threshold, Now()) !=
+      Verdict::Allow;
+  const TimePoint began = Now();
+  TargetResult result =
+    this->target.Run({ aCall.id,
+                       aCall.request,
+                       aCall.idempotent,
+                       aDeadline,
+                       static_cast<std::size_t>(spec.limits.answerBytes) },
+                     state.connection);
+  const bool cancelled = state.cancelled;
+  if (result.broken && !cancelled) {
+    this->NoteBroken(fingerprint);
+  }
+  this->running.erase(aCall.id);
+  this->Settle(std::holds_alternative<NotRun>(result.outcome)
+                 ? this->admission.Abandon(Now())
+                 : this->admission.Finish(Now() - began, Now()));
+  if (std::holds_alternative<Answered>(result.outcome) &&
+      this->quarantine.Size() > 0) {
+    this->quarantine.Completed(fingerprint, Now());
+  }
+  this->Conclude(aCall, std::move(result));
+}
+
+void
+CallServer::Conclude(const CallMessage& aCall, TargetResult aResult)
+{
+  const CallId& id = aCall.id;
+  SenderConnection* connection = this->ConnectionOf(id);
+  std::visit(Overloaded{
+               [&](Answered& aAnswered) {
+                 if (connection == nullptr) {
+                   this->ledger.Finish(id, std::move(aAnswered.response));
+                   return;
+                 }
+                 AnswerMessage message{ id,
+                                        std::move(aAnswered.response),
+                                        this->ChargedReport(id) };
+                 connection->frames->Send(message);
+                 this->ledger.Finish(id, std::move(message.response));
+               },
+               [&](NotRun& aRefusal) { this->Refuse(id, std::move(aRefusal)); },
+               [&](OutcomeUnknown& aUnknown) {
+                 Log(kChannel,
+                     LogLevel::Info,
+                     "call lost at the target",
+                     { { "call", ToString(id) }, { "why", aUnknown.detail } });
+                 this->ledger.Lose(id);
+                 if (connection != nullptr) {
+                   connection->frames->Send(LostMessage{ id });
+                 }
+               },
+             },
+             aResult.outcome);
+}
+
+bool
+CallServer::AnotherSuspectRuns() const
+{
+  return std::ranges::any_of(
+    this->running, [](const auto& aItem) { return aItem.second.suspect; });
+}
+
+void
+CallServer::NoteBroken(Fingerprint aFingerprint)
+{
+  this->broken.push_back(aFingerprint);
+  if (this->broken.size() == 1) {
+    Spawn([this] { this->CheckForCrash(); });
+  }
+}
+
+void
+CallServer::CheckForCrash()
+{
+  boost::this_fiber::sleep_for(kCrashWindow);
+  const std::vector<Fingerprint> suspects = std::move(this->broken);
+  this->broken.clear();
+  if (this->target.IsListening()) {
+    return;
+  }
+  const auto route = this->lookup(this->admission.Service());
+  const Duration lifetime =
+    route ? Duration(route->service->spec.quarantine.lifetime)
+          : Duration(QuarantineSpec{}.lifetime);
+  this->quarantine.Crashed(EntropySeed(), suspects, lifetime, Now());
+  Log(kChannel,
+      LogLevel::Warning,
+      "the target crashed",
+      { { "running", std::to_string(suspects.size()) } });
+  if (this->onSuspects) {
+    this->onSuspects();
+  }
+}
+
+std::optional<LoadReport>
+CallServer::ChargedReport(const CallId& aId)
+{
+  const SenderConnection* connection = this->ConnectionOf(aId);
+  const auto route = this->lookup(this->admission.Service());
+  if (connection == nullptr || !route) {
+    return std::nullopt;
+  }
+  ServiceState& state = *route->state;
+  if (connection->across &&
+      !state.measuringAcross.Charge(kReportBytes, Now())) {
+    return std::nullopt;
+  }
+  if (!state.measuring.Charge(kReportBytes, Now())) {
+    return std::nullopt;
+  }
+  return this->admission.Report();
+}
+
+SenderConnection*
+CallServer::ConnectionOf(const CallId& aId)
+{
+  const auto found = this->senders.find(aId.sender);
+  return found == this->senders.end() ? nullptr : &found->second;
+}
+
+}
--- /dev/null
+++ b/src/baobab/node/config_agent.cpp
@@ -0,0 +1,267 @@
+#include "baobab/node/config_agent.hpp"
+
+#include "baobab/decision/rendezvous.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/manifest_json.hpp"
+#include "baobab/net/timeout.hpp"
+#include "baobab/net/worker.hpp"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+namespace baobab {
+namespace {
+
+constexpr std::string_view kChannel = "config";
+constexpr std::string_view kReaderRole = "config-reader";
+
+constexpr Duration kStoreTime = 3s;
+constexpr Duration kWatchTime = 20s;
+constexpr Duration kRetryPause = 500ms;
+constexpr Duration kRoleCheck = 500ms;
+
+/// Silence of all peers after which a daemon reads the store itself.
+constexpr Duration kSilence = 10s;
+
+/// Mean time between reads of a daemon that is no reader and hears peers.
+constexpr Duration kAuditTime = 300s;
+
+constexpr Duration kPullTime = 5s;
+
+/// Bytes of a reply besides the files.
+constexpr std::size_t kReplyOverhead = 128;
+
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+}
+
+ConfigAgent::ConfigAgent(boost::asio::io_context& aContext,
+                         Membership& aMembership,
+                         RoutePublisher& aPublisher,
+                         ControlPacer& aPacer,
+                         const Settings& aSettings)
+  : context(aContext)
+  , membership(aMembership)
+  , publisher(aPublisher)
+  , pacer(aPacer)
+  , settings(aSettings)
+  , store(aContext, aSettings.store, kStoreTime)
+  , random(EntropySeed())
+{
+}
+
+void
+ConfigAgent::Run()
+{
+  this->ReadStore();
+  this->askedStore = true;
+  const auto jitter = [&] {
+    return std::chrono::duration_cast<Duration>(kAuditTime *
+                                                (0.5 + Fraction(this->random)));
+  };
+  TimePoint nextAudit = Now() + jitter();
+  while (true) {
+    if (this->IsReader()) {
+      this->WatchStore();
+      continue;
+    }
+    const bool silent = Now() - this->heardAt > kSilence;
+    const bool due = silent && Fraction(this->random) < 0.1;
+    if (due || Now() > nextAudit) {
+      this->ReadStore();
+      nextAudit = Now() + jitter();
+    }
+    boost::this_fiber::sleep_for(kRoleCheck);
+  }
+}
+
+void
+ConfigAgent::Hear(const Endpoint& aPeer, std::uint64_t aGeneration)
+{
+  this->heardAt = Now();
+  if (aGeneration > this->Generation() && !this->pulling) {
+    this->pulling = true;
+    Spawn([this, aPeer] {
+      this->Pull(aPeer);
+      this->pulling = false;
+    });
+  }
+}
+
+void
+ConfigAgent::Reply(const std::shared_ptr<FrameConnection>& aFrames,
+                   const ConfigRequestMessage& aRequest)
+{
+  ConfigReplyMessage reply{ this->publisher.Current()->Since(
+    aRequest.generation) };
+  std::size_t bytes = kReplyOverhead;
+  for (const std::string& text : reply.delta.texts) {
+    bytes += text.size() + kReplyOverhead;
+  }
+  Spawn([this, aFrames, bytes, reply = std::move(reply)] {
+    this->pacer.Spend(bytes);
+    aFrames->Send(reply);
+  });
+}
+
+bool
+ConfigAgent::IsReader() const
+{
+  const Locality& locality = this->settings.locality;
+  std::vector<Endpoint> zone;
+  for (const MemberRecord& member : this->membership.Living()) {
+    if (member.locality == locality) {
+      zone.push_back(member.endpoint);
+    }
+  }
+  const auto readers = RendezvousPick(
+    zone,
+    kReaderRole,
+    static_cast<std::size_t>(this->settings.control.readersPerZone));
+  return std::ranges::find(readers, this->membership.Self().endpoint) !=
+         readers.end();
+}
+
+void
+ConfigAgent::ReadStore()
+{
+  auto manifest = this->store.Get(kManifestKey);
+  if (!Succeeded(manifest)) {
+    Log(kChannel, LogLevel::Warning, Describe(Failure(manifest)));
+    return;
+  }
+  if (Value(manifest)) {
+    this->Fetch(*Value(manifest));
+  }
+}
+
+void
+ConfigAgent::WatchStore()
+{
+  const TimePoint began = Now();
+  auto changed =
+    this->store.Watch(kManifestKey, this->manifestVersion, kWatchTime);
+  if (Succeeded(changed) && Value(changed)) {
+    this->Fetch(*Value(changed));
+    return;
+  }
+  if (!Succeeded(changed)) {
+    Log(kChannel, LogLevel::Warning, Describe(Failure(changed)));
+  }
+  // A watch that ends at once must not become a busy loop.
+  if (Now() - began < kRetryPause) {
+    const double spread = 0.5 + Fraction(this->random);
+    boost::this_fiber::sleep_for(
+      std::chrono::duration_cast<Duration>(kRetryPause * spread));
+  }
+}
+
+void
+ConfigAgent::Fetch(const StoredObject& aManifest)
+{
+  auto manifest = DecodeManifest(aManifest.value);
+  if (!Succeeded(manifest)) {
+    Log(kChannel, LogLevel::Error, Describe(Failure(manifest)));
+    return;
+  }
+  if (Value(manifest).generation <= this->Generation()) {
+    this->manifestVersion = aManifest.version;
+    return;
+  }
+  auto delta = this->FetchChanges(Value(manifest));
+  if (!Succeeded(delta)) {
+    Log(kChannel, LogLevel::Warning, Describe(Failure(delta)));
+    return;
+  }
+  this->manifestVersion = aManifest.version;
+  this->Adopt(Value(delta), "store");
+}
+
+Result<ConfigDelta>
+ConfigAgent::FetchChanges(const Manifest& aManifest)
+{
+  ConfigDelta delta{ this->Generation(), aManifest.generation, {}, {} };
+  for (const ManifestEntry& entry : aManifest.entries) {
+    if (entry.generation <= delta.base) {
+      continue;
+    }
+    auto file = this->store.Get(ServiceFileKey(entry.hash));
+    if (!Succeeded(file)) {
+      return Failure(file);
+    }
+    if (!Value(file)) {
+      return Error{ ErrorKind::NotFound,
+                    "the file of service '" + entry.name + "' is missing",
+                    "publish it again" };
+    }
+    delta.entries.push_back(entry);
+    delta.texts.push_back(std::move(Value(file)->value));
+  }
+  return delta;
+}
+
+void
+ConfigAgent::Pull(const Endpoint& aPeer)
+{
+  auto delta = this->Request(aPeer);
+  if (!Succeeded(delta)) {
+    Log(kChannel,
+        LogLevel::Debug,
+        "pull failed",
+        { { "peer", ToString(aPeer) }, { "error", Describe(Failure(delta)) } });
+    return;
+  }
+  this->Adopt(Value(delta), "peer");
+}
+
+Result<ConfigDelta>
+ConfigAgent::Request(const Endpoint& aPeer)
+{
+  auto socket = Connect(this->context, aPeer, this->settings.timeouts.connect);
+  if (!Succeeded(socket)) {
+    return Failure(socket);
+  }
+  const auto frames =
+    std::make_shared<FrameConnection>(std::move(Value(socket)));
+  const auto timer = frames->CloseAfter(kPullTime);
+  frames->Send(ConfigRequestMessage{ this->Generation() });
+  auto reply = frames->Read();
+  frames->Close();
+  if (!Succeeded(reply)) {
+    return Failure(reply);
+  }
+  auto* message = std::get_if<ConfigReplyMessage>(&Value(reply));
+  if (message == nullptr) {
+    return Error{ ErrorKind::BadMessage, "unexpected reply", "" };
+  }
+  return std::move(message->delta);
+}
+
+void
+ConfigAgent::Adopt(const ConfigDelta& aDelta, std::string_view aSource)
+{
+  auto next = this->publisher.Current()->Apply(aDelta);
+  if (!Succeeded(next)) {
+    const bool stale = Failure(next).kind == ErrorKind::Conflict;
+    Log(kChannel,
+        stale ? LogLevel::Debug : LogLevel::Error,
+        "generation refused: " + Describe(Failure(next)));
+    return;
+  }
+  this->publisher.SetConfiguration(
+    std::make_shared<const Configuration>(std::move(Value(next))));
+  Log(kChannel,
+      LogLevel::Info,
+      "generation in force",
+      { { "generation", std::to_string(this->Generation()) },
+        { "source", std::string(aSource) } });
+  if (this->onAdopted) {
+    this->onAdopted(this->Generation());
+  }
+}
+
+}
--- /dev/null
+++ b/src/baobab/node/control_pacer.cpp
@@ -0,0 +1,39 @@
+#include "baobab/node/control_pacer.hpp"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+namespace baobab {
+namespace {
+
+constexpr Duration kPause = 20ms;
+
+/// Part of a second's bytes that is charged at once at most, as a divisor.
+constexpr std::int64_t kPiecePart = 16;
+
+}
+
+bool
+ControlPacer::TrySpend(std::size_t aBytes)
+{
+  return this->budget.Charge(static_cast<std::int64_t>(aBytes),
+                             std::chrono::steady_clock::now());
+}
+
+void
+ControlPacer::Spend(std::size_t aBytes)
+{
+  auto left = static_cast<std::int64_t>(aBytes);
+  const std::int64_t most =
+    std::max<std::int64_t>(1, this->budget.Rate() / kPiecePart);
+  while (left > 0) {
+    const std::int64_t piece = std::min(left, most);
+    if (this->budget.Charge(piece, std::chrono::steady_clock::now())) {
+      left -= piece;
+    } else {
+      boost::this_fiber::sleep_for(kPause);
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/src/baobab/node/daemon.cpp
@@ -0,0 +1,446 @@
+#include "baobab/node/daemon.hpp"
+
+#include "baobab/net/log.hpp"
+#include "baobab/net/worker.hpp"
+#include "baobab/node/admin.hpp"
+#include "baobab/node/call_server.hpp"
+#include "baobab/node/config_agent.hpp"
+#include "baobab/node/gossip_agent.hpp"
+#include "baobab/node/ingress.hpp"
+#include "baobab/node/metrics.hpp"
+#include "baobab/node/peer_server.hpp"
+#include "baobab/node/route_publisher.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/fiber/future.hpp>
+#include <boost/fiber/operations.hpp>
+#include <chrono>
+#include <sys/resource.h>
+
+namespace baobab {
+namespace {
+
+constexpr std::string_view kChannel = "daemon";
+
+constexpr Duration kTickPeriod = 10ms;
+constexpr Duration kRefreshPeriod = 50ms;
+constexpr Duration kDrainCheck = 20ms;
+
+/// Time for which a shutdown still answers callers whose requests are on
+/// their way.
+constexpr Duration kGraceTime = 300ms;
+
+constexpr std::size_t kAdminConnections = 256;
+
+/// Serves callers on a thread of its own.
+struct IngressWorker
+{
+  explicit IngressWorker(const Settings& aSettings)
+    : gate(static_cast<std::size_t>(aSettings.callerConnections /
+                                    aSettings.workers) +
+           1)
+  {
+  }
+
+  HttpGate gate;
+  std::unique_ptr<Ingress> ingress;
+  HttpHandler handler;
+  std::optional<Tcp::acceptor> acceptor;
+  /// Last, so that its thread ends before what it uses.
+  Worker worker;
+};
+
+/// Start of this process as a number that rises from one start to the next.
+std::uint64_t
+FirstIncarnation()
+{
+  constexpr unsigned kChangesPerMilli = 10;
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(now / std::chrono::milliseconds(1))
+         << kChangesPerMilli;
+}
+
+MemberRecord
+SelfRecord(const Settings& aSettings)
+{
+  MemberRecord self;
+  self.endpoint = aSettings.peers;
+  self.incarnation = FirstIncarnation();
+  self.locality = aSettings.locality;
+  return self;
+}
+
+MembershipOptions
+OptionsOf(const Settings& aSettings)
+{
+  MembershipOptions options;
+  options.probePeriod = aSettings.control.probePeriod;
+  options.ackTime = options.probePeriod * 3 / 10;
+  options.suspicion = options.probePeriod * 4;
+  return options;
+}
+
+double
+ProcessorSeconds()
+{
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  constexpr double kMicro = 1e-6;
+  return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+         kMicro *
+           static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+}
+
+class Daemon
+{
+public:
+  explicit Daemon(const Settings& aSettings)
+    : settings(aSettings)
+    , membership(SelfRecord(aSettings),
+                 OptionsOf(aSettings),
+                 EntropySeed(),
+                 std::chrono::steady_clock::now())
+    , pacer(aSettings.control.bytesPerSecond)
+    , publisher(this->membership,
+                this->quarantine,
+                this->routes,
+                aSettings.locality)
+    , config(this->control.Context(),
+             this->membership,
+             this->publisher,
+             this->pacer,
+             aSettings)
+    , gossip(this->control.Context(),
+             this->membership,
+             this->quarantine,
+             this->pacer,
+             aSettings)
+    , target(this->control.Context(), aSettings)
+    , calls(
+        this->target,
+        this->quarantine,
+        [this](std::string_view aService) { return this->RouteOf(aService); },
+        aSettings)
+    , peers(
+        this->calls,
+        [this](const auto& aFrames, const PeerMessage& aMessage) {
+          return this->OnControl(aFrames, aMessage);
+        },
+        EntropySeed(),
+        aSettings)
+    , adminGate(kAdminConnections)
+  {
+  }
+
+  Result<Done> Run()
+  {
+    if (auto opened = this->Open(); !Succeeded(opened)) {
+      return opened;
+    }
+    const RcuThread reader;
+    boost::asio::signal_set signals(this->control.Context(), SIGTERM, SIGINT);
+    signals.async_wait([this](auto aError, int) {
+      if (!aError) {
+        Spawn([this] { this->Drain(); });
+      }
+    });
+    this->control.RunHere([this] { this->StartControl(); });
+    return Done{};
+  }
+
+private:
+  Result<Done> Open()
+  {
+    auto& context = this->control.Context();
+    auto peerSocket = Listen(context, this->settings.peers);
+    if (!Succeeded(peerSocket)) {
+      return Failure(peerSocket);
+    }
+    this->peerAcceptor.emplace(std::move(Value(peerSocket)));
+    auto adminSocket = Listen(context, this->settings.admin);
+    if (!Succeeded(adminSocket)) {
+      return Failure(adminSocket);
+    }
+    this->adminAcceptor.emplace(std::move(Value(adminSocket)));
+    if (auto opened = this->gossip.Open(); !Succeeded(opened)) {
+      return opened;
+    }
+    for (std::int64_t i = 0; i < this->settings.workers; ++i) {
+      auto worker = std::make_unique<IngressWorker>(this->settings);
+      auto socket = Listen(worker->worker.Context(), this->settings.callers);
+      if (!Succeeded(socket)) {
+        return Failure(socket);
+      }
+      worker->acceptor.emplace(std::move(Value(socket)));
+      this->workers.push_back(std::move(worker));
+    }
+    return Done{};
+  }
+
+  void StartControl()
+  {
+    this->config.onAdopted = [this](std::uint64_t aGeneration) {
+      this->gossip.Send(this->membership.PushGeneration(aGeneration));
+    };
+    this->gossip.onGeneration = [this](const Endpoint& aPeer,
+                                       std::uint64_t aGeneration) {
+      this->config.Hear(aPeer, aGeneration);
+    };
+    this->gossip.onNews = [this] { this->publisher.MarkChanged(); };
+    this->calls.onSuspects = [this] {
+      this->publisher.MarkChanged();
+      this->gossip.Send(
+        this->membership.PushGeneration(this->config.Generation()));
+    };
+    this->limits.headerBytes =
+      static_cast<std::size_t>(this->settings.headerBytes);
+    this->limits.headerTime = this->settings.timeouts.callerHeader;
+    this->limits.bodyTime = this->settings.timeouts.callerBody;
+    this->limits.idleTime = this->settings.timeouts.callerIdle;
+    this->adminHandler = AdminHandler(
+      { [this](const TargetAnnouncement& aTarget) { this->Announce(aTarget); },
+        [this] { return this->Ready(); },
+        [this] { return this->Metrics(); } });
+    Spawn([this] { this->gossip.Receive(); });
+    Spawn([this] { this->gossip.RunTimers(); });
+    Spawn([this] { this->gossip.RunSeeds(); });
+    Spawn([this] { this->gossip.RunExchanges(); });
+    Spawn([this] { this->config.Run(); });
+    Spawn([this] { this->RunTimers(); });
+    Spawn([this] { this->peers.Serve(*this->peerAcceptor); });
+    Spawn([this] {
+      ServeHttp(*this->adminAcceptor,
+                this->limits,
+                this->adminHandler,
+                this->adminGate);
+    });
+    for (const auto& worker : this->workers) {
+      worker->worker.Start([this, &worker = *worker] { this->Serve(worker); });
+    }
+    Log(kChannel,
+        LogLevel::Info,
+        "started",
+        { { "callers", ToString(this->settings.callers) },
+          { "peers", ToString(this->settings.peers) },
+          { "zone", this->settings.locality.zone } });
+  }
+
+  /// Serves callers; the worker's thread is an RCU reader for good.
+  void Serve(IngressWorker& aWorker)
+  {
+    static thread_local const RcuThread reader;
+    aWorker.ingress = std::make_unique<Ingress>(
+      aWorker.worker.Context(),
+      this->routes,
+      LinkIdentity{ EntropySeed(), this->settings.locality.region },
+      this->settings);
+    aWorker.handler = aWorker.ingress->Handler();
+    ServeHttp(*aWorker.acceptor, this->limits, aWorker.handler, aWorker.gate);
+  }
+
+  void RunTimers()
+  {
+    TimePoint nextRefresh = std::chrono::steady_clock::now();
+    while (true) {
+      boost::this_fiber::sleep_for(kTickPeriod);
+      this->calls.Tick();
+      this->SpreadTargetState();
+      const TimePoint now = std::chrono::steady_clock::now();
+      if (now >= nextRefresh) {
+        nextRefresh = now + kRefreshPeriod;
+        this->publisher.Refresh(now);
+      }
+    }
+  }
+
+  void Announce(const TargetAnnouncement& aTarget)
+  {
+    this->calls.Announce(aTarget.announcement, aTarget.address);
+    this->SpreadTargetState();
+  }
+
+  /// Tells other daemons about the local target when its state changes.
+  void SpreadTargetState()
+  {
+    const std::uint64_t before = this->membership.Version();
+    this->membership.UpdateSelf(this->calls.Gate().Service(),
+                                this->calls.State(),
+                                this->calls.Gate().Report().slots);
+    if (this->membership.Version() != before) {
+      this->gossip.Send(
+        this->membership.PushGeneration(this->config.Generation()));
+    }
+  }
+
+  bool OnControl(const std::shared_ptr<FrameConnection>& aFrames,
+                 const PeerMessage& aMessage)
+  {
+    if (const auto* config = std::get_if<ConfigRequestMessage>(&aMessage)) {
+      this->config.Reply(aFrames, *config);
+      return true;
+    }
+    if (const auto* table = std::get_if<TableRequestMessage>(&aMessage)) {
+      this->gossip.Reply(aFrames, *table);
+      return true;
+    }
+    return false;
+  }
+
+  std::shared_ptr<const ServiceRoute> RouteOf(std::string_view aService) const
+  {
+    return this->routes.Read(
+      [&](const RouteTable& aTable) { return aTable.Find(aService); });
+  }
+
+  bool Ready() const { return this->config.Ready() && !this->draining; }
+
+  /// Calls a function on a worker's thread and waits for its result.
+  template<class F>
+  static auto AskWorker(Worker& aWorker, F aFunction)
+  {
+    using R = decltype(aFunction());
+    auto promise = std::make_shared<boost::fibers::promise<R>>();
+    auto future = promise->get_future();
+    aWorker.Post([promise, aFunction] { promise->set_value(aFunction()); });
+    return future.get();
+  }
+
+  std::string Metrics()
+  {
+    WorkerStats stats;
+    for (const auto& worker : this->workers) {
+      const WorkerStats part = AskWorker(worker->worker, [&worker] {
+        return worker->ingress ? worker->ingress->Stats() : WorkerStats();
+      });
+      MergeStats(stats, part);
+    }
+    MetricsPage page;
+    for (const auto& [service, values] : stats) {
+      page.AddService(service, values);
+    }
+    this->AddControlMetrics(page);
+    return page.Text();
+  }
+
+  void AddControlMetrics(MetricsPage& aPage) const
+  {
+    const auto add = [&](std::string_view aName, auto aValue) {
+      aPage.Add(aName, "", static_cast<double>(aValue));
+    };
+    const GossipCounts& counts = this->gossip.Counts();
+    const LoadReport load = this->calls.Gate().Report();
+    add("generation", this->config.Generation());
+    add("members", this->membership.Size());
+    add("address_conflicts_total", this->membership.AddressConflicts());
+    add("gossip_sent_total", counts.sent);
+    add("gossip_sent_bytes_total", counts.sentBytes);
+    add("gossip_received_total", counts.received);
+    add("gossip_received_bytes_total", counts.receivedBytes);
+    add("gossip_invalid_total", counts.invalid);
+    add("gossip_left_out_total", counts.leftOut);
+    add("gossip_exchanges_total", counts.exchanges);
+    add("control_spent_bytes_total", this->pacer.Spent());
+    add("store_calls_total",
+        this->config.StoreCalls() + this->gossip.StoreCalls());
+    add("target_running", load.running);
+    add("target_queued", load.queued);
+    add("target_slots", load.slots);
+    add("suspects", this->quarantine.Size());
+    add("process_cpu_seconds_total", ProcessorSeconds());
+    this->routes.Read([&](const RouteTable& aTable) {
+      for (const auto& route : aTable.routes) {
+        AddBudgetMetrics(aPage, *route);
+      }
+    });
+  }
+
+  static void AddBudgetMetrics(MetricsPage& aPage, const ServiceRoute& aRoute)
+  {
+    const std::string label =
+      "service=\"" + aRoute.service->spec.name + "\",budget=\"";
+    const auto add = [&](std::string_view aName, const ByteBudget& aBudget) {
+      const std::string labels = label + std::string(aName) + "\"";
+      aPage.Add("budget_spent_bytes_total",
+                labels,
+                static_cast<double>(aBudget.Spent()));
+      aPage.Add("budget_allowed_bytes_per_second",
+                labels,
+                static_cast<double>(aBudget.Rate()));
+    };
+    add("measuring", aRoute.state->measuring);
+    add("measuring_across", aRoute.state->measuringAcross);
+    add("spill", aRoute.state->spill);
+  }
+
+  std::size_t BusyCallers()
+  {
+    std::size_t busy = 0;
+    for (const auto& worker : this->workers) {
+      busy +=
+        AskWorker(worker->worker, [&worker] { return worker->gate.Busy(); });
+    }
+    return busy;
+  }
+
+  void Drain()
+  {
+    if (this->draining) {
+      return;
+    }
+    this->draining = true;
+    Log(kChannel, LogLevel::Info, "draining");
+    this->calls.StartLeaving();
+    this->SpreadTargetState();
+    const TimePoint end =
+      std::chrono::steady_clock::now() + this->settings.timeouts.drain;
+    boost::this_fiber::sleep_for(kGraceTime);
+    for (const auto& worker : this->workers) {
+      AskWorker(worker->worker, [&worker] {
+        worker->acceptor->close();
+        worker->gate.StopKeepAlive();
+        return true;
+      });
+    }
+    while (std::chrono::steady_clock::now() < end &&
+           (this->calls.InFlight() > 0 || this->BusyCallers() > 0)) {
+      boost::this_fiber::sleep_for(kDrainCheck);
+    }
+    boost::this_fiber::sleep_for(kDrainCheck);
+    this->gossip.Send(this->membership.Leave());
+    Log(kChannel, LogLevel::Info, "stopped");
+    this->control.Stop();
+  }
+
+  const Settings& settings;
+  Worker control;
+  Membership membership;
+  Quarantine quarantine;
+  RcuCell<RouteTable> routes;
+  ControlPacer pacer;
+  RoutePublisher publisher;
+  ConfigAgent config;
+  GossipAgent gossip;
+  TargetClient target;
+  CallServer calls;
+  PeerServer peers;
+  HttpLimits limits;
+  HttpHandler adminHandler;
+  HttpGate adminGate;
+  std::optional<Tcp::acceptor> peerAcceptor;
+  std::optional<Tcp::acceptor> adminAcceptor;
+  std::vector<std::unique_ptr<IngressWorker>> workers;
+  bool draining = false;
+};
+
+}
+
+Result<Done>
+RunDaemon(const Settings& aSettings)
+{
+  // Fibers of a stopped daemon still hold references into it, so it is never
+  // destroyed; the process ends right after.
+  auto* daemon = new Daemon(aSettings);
+  return daemon->Run();
+}
+
+}
--- /dev/null
+++ b/src/baobab/node/gossip_agent.cpp
@@ -0,0 +1,316 @@
+#include "baobab/node/gossip_agent.hpp"
+
+#include "baobab/decision/rendezvous.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/manifest_json.hpp"
+#include "baobab/net/worker.hpp"
+#include "baobab/wire/gossip_codec.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/fiber/operations.hpp>
+#include <sstream>
+
+namespace baobab {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::string_view kChannel = "gossip";
+constexpr std::string_view kSeedRole = "seed-writer";
+
+constexpr Duration kTimerPeriod = 50ms;
+constexpr Duration kStoreTime = 3s;
+constexpr Duration kExchangeTime = 10s;
+
+/// Time between full exchanges while tables agree, and while they do not.
+constexpr Duration kExchangePeriod = 30s;
+constexpr Duration kJoinPeriod = 1s;
+
+/// Table size below which a daemon counts as joining.
+constexpr std::size_t kJoiningSize = 4;
+
+constexpr Duration kSeedPeriod = 30s;
+constexpr Duration kSeedRetry = 1s;
+constexpr std::size_t kSeedWriters = 2;
+constexpr std::size_t kSeedsKept = 16;
+
+constexpr std::size_t kSuspicionsSent = 8;
+
+/// Members in one message of a full exchange, and their size.
+constexpr std::size_t kMembersSent = 32;
+constexpr std::size_t kMemberBytes = 64;
+
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+}
+
+GossipAgent::GossipAgent(asio::io_context& aContext,
+                         Membership& aMembership,
+                         Quarantine& aQuarantine,
+                         ControlPacer& aPacer,
+                         const Settings& aSettings)
+  : context(aContext)
+  , membership(aMembership)
+  , quarantine(aQuarantine)
+  , pacer(aPacer)
+  , settings(aSettings)
+  , socket(aContext)
+  , store(aContext, aSettings.store, kStoreTime)
+  , random(EntropySeed())
+{
+}
+
+Result<Done>
+GossipAgent::Open()
+{
+  boost::system::error_code error;
+  this->socket.open(Udp::v4(), error);
+  this->socket.bind(ToUdp(this->settings.peers), error);
+  if (error) {
+    return Error{ ErrorKind::System,
+                  "cannot open " + ToString(this->settings.peers) + ": " +
+                    error.message(),
+                  "free the address or change 'listen.peers'" };
+  }
+  this->socket.non_blocking(true, error);
+  return Done{};
+}
+
+void
+GossipAgent::Receive()
+{
+  alignas(std::uint64_t) std::array<std::uint8_t, kLargestDatagram> buffer;
+  while (true) {
+    Udp::endpoint from;
+    const IoResult received = Await([&](auto aHandler) {
+      this->socket.async_receive_from(asio::buffer(buffer), from, aHandler);
+    });
+    if (received) {
+      this->Handle(FromUdp(from), { buffer.data(), received.bytes });
+    }
+  }
+}
+
+void
+GossipAgent::Handle(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes)
+{
+  ++this->counts.received;
+  this->counts.receivedBytes += aBytes.size();
+  auto message = DecodeGossip(aBytes);
+  if (!Succeeded(message)) {
+    ++this->counts.invalid;
+    return;
+  }
+  const GossipMessage& gossip = Value(message);
+  this->Send(this->membership.Handle(aFrom, gossip, Now()));
+  for (const Suspicion& suspicion : gossip.suspicions) {
+    this->quarantine.Merge(suspicion, Now());
+  }
+  this->digestsDiffer = gossip.digest != this->membership.Digest();
+  if (this->onGeneration) {
+    this->onGeneration(gossip.sender.endpoint, gossip.generation);
+  }
+  if (!gossip.suspicions.empty() && this->onNews) {
+    this->onNews();
+  }
+}
+
+void
+GossipAgent::RunTimers()
+{
+  while (true) {
+    this->Send(this->membership.Tick(Now()));
+    boost::this_fiber::sleep_for(kTimerPeriod);
+  }
+}
+
+void
+GossipAgent::Send(std::vector<GossipSend> aSends)
+{
+  for (GossipSend& send : aSends) {
+    send.message.suspicions = this->quarantine.TakeNews(kSuspicionsSent, Now());
+    const std::string bytes = EncodeGossip(send.message);
+    if (!this->pacer.TrySpend(bytes.size())) {
+      ++this->counts.leftOut;
+      continue;
+    }
+    boost::system::error_code error;
+    this->socket.send_to(asio::buffer(bytes), ToUdp(send.to), 0, error);
+    ++this->counts.sent;
+    this->counts.sentBytes += bytes.size();
+  }
+}
+
+void
+GossipAgent::RunExchanges()
+{
+  TimePoint last;
+  while (true) {
+    boost::this_fiber::sleep_for(kJoinPeriod);
+    const bool joining = this->membership.Size() < kJoiningSize ||
+                         !this->membership.Settled(Now());
+    const Duration period = joining ? kJoinPeriod : kExchangePeriod;
+    if (!this->digestsDiffer || Now() - last < period) {
+      continue;
+    }
+    last = Now();
+    if (const auto peer = this->membership.RandomPeer()) {
+      this->Exchange(*peer);
+    }
+  }
+}
+
+void
+GossipAgent::Exchange(const Endpoint& aPeer)
+{
+  auto opened = Connect(this->context, aPeer, this->settings.timeouts.connect);
+  if (!Succeeded(opened)) {
+    return;
+  }
+  ++this->counts.exchanges;
+  const auto frames =
+    std::make_shared<FrameConnection>(std::move(Value(opened)));
+  const auto timer = frames->CloseAfter(kExchangeTime);
+  const auto& digests = this->membership.Digests();
+  this->pacer.Spend(sizeof digests);
+  frames->Send(TableRequestMessage{ { digests.begin(), digests.end() } });
+  while (true) {
+    auto reply = frames->Read();
+    if (!Succeeded(reply)) {
+      break;
+    }
+    const auto* list = std::get_if<MemberListMessage>(&Value(reply));
+    if (list == nullptr || list->members.empty()) {
+      break;
+    }
+    for (const MemberRecord& member : list->members) {
+      this->membership.Merge(member, Now());
+    }
+  }
+  frames->Close();
+}
+
+void
+GossipAgent::Reply(const std::shared_ptr<FrameConnection>& aFrames,
+                   const TableRequestMessage& aRequest)
+{
+  std::vector<MemberRecord> members;
+  const auto& digests = this->membership.Digests();
+  for (std::size_t bucket = 0; bucket < Membership::kBuckets; ++bucket) {
+    if (bucket >= aRequest.digests.size() ||
+        aRequest.digests[bucket] != digests[bucket]) {
+      std::ranges::move(this->membership.Bucket(bucket),
+                        std::back_inserter(members));
+    }
+  }
+  Spawn([this, aFrames, members = std::move(members)] {
+    for (std::size_t i = 0; i < members.size() && aFrames->IsOpen();
+         i += kMembersSent) {
+      const std::size_t end = std::min(members.size(), i + kMembersSent);
+      this->pacer.Spend((end - i) * kMemberBytes);
+      aFrames->Send(MemberListMessage{
+        { members.begin() + static_cast<std::ptrdiff_t>(i),
+          members.begin() + static_cast<std::ptrdiff_t>(end) } });
+    }
+    aFrames->Send(MemberListMessage{});
+  });
+}
+
+void
+GossipAgent::RunSeeds()
+{
+  this->ReadSeeds();
+  while (true) {
+    if (this->IsSeedWriter()) {
+      this->WriteSeeds();
+    }
+    const bool alone = this->membership.Size() == 1;
+    const double spread = 0.5 + Fraction(this->random);
+    boost::this_fiber::sleep_for(std::chrono::duration_cast<Duration>(
+      (alone ? kSeedRetry : kSeedPeriod) * spread));
+    if (this->membership.Size() == 1) {
+      this->ReadSeeds();
+    }
+  }
+}
+
+void
+GossipAgent::ReadSeeds()
+{
+  auto keys = this->store.List(kSeedPrefix);
+  if (!Succeeded(keys)) {
+    Log(kChannel,
+        LogLevel::Warning,
+        "no first peers: " + Describe(Failure(keys)));
+    return;
+  }
+  for (const std::string& key : Value(keys)) {
+    auto object = this->store.Get(key);
+    if (Succeeded(object) && Value(object)) {
+      this->GreetAll(Value(object)->value);
+    }
+  }
+}
+
+bool
+GossipAgent::IsSeedWriter() const
+{
+  std::vector<Endpoint> zone;
+  for (const MemberRecord& member : this->membership.Living()) {
+    if (member.locality == this->settings.locality) {
+      zone.push_back(member.endpoint);
+    }
+  }
+  const auto writers = RendezvousPick(zone, kSeedRole, kSeedWriters);
+  return std::ranges::find(writers, this->membership.Self().endpoint) !=
+         writers.end();
+}
+
+void
+GossipAgent::WriteSeeds()
+{
+  const Locality& locality = this->settings.locality;
+  const std::string key = SeedKey(locality.region, locality.zone);
+  auto object = this->store.Get(key);
+  if (!Succeeded(object)) {
+    return;
+  }
+  PutCondition condition;
+  if (Value(object)) {
+    this->GreetAll(Value(object)->value);
+    condition.version = Value(object)->version;
+  }
+  std::string text = ToString(this->membership.Self().endpoint) + "\n";
+  std::size_t kept = 1;
+  for (const MemberRecord& member : this->membership.Living()) {
+    if (member.locality == locality && kept < kSeedsKept &&
+        member.endpoint != this->membership.Self().endpoint) {
+      text += ToString(member.endpoint) + "\n";
+      ++kept;
+    }
+  }
+  if (!Value(object) || Value(object)->value != text) {
+    this->store.Put(key, text, condition);
+  }
+}
+
+void
+GossipAgent::GreetAll(std::string_view aText)
+{
+  std::istringstream lines{ std::string(aText) };
+  for (std::string line; std::getline(lines, line);) {
+    const auto endpoint = ParseEndpoint(line);
+    if (Succeeded(endpoint) && !this->membership.Knows(Value(endpoint))) {
+      this->membership.AddSeed(Value(endpoint));
+      this->Send({ this->membership.Greet(Value(endpoint)) });
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/src/baobab/node/ingress.cpp
@@ -0,0 +1,404 @@
+#include "baobab/node/ingress.hpp"
+
+#include "baobab/core/result.hpp"
+#include "baobab/decision/quarantine.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/worker.hpp"
+#include "baobab/node/headers.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace baobab {
+namespace {
+
+constexpr std::string_view kChannel = "ingress";
+
+constexpr unsigned kServerError = 500;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+
+/// Time for which a target that refused as not ready is left out.
+constexpr Duration kHoldBack = 1s;
+
+/// Bytes of a call besides its body and path, for the spill budget.
+constexpr std::int64_t kCallOverhead = 512;
+
+/// Latencies of the mean after which a hedge starts.
+constexpr double kHedgeFactor = 3;
+
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+std::string_view
+HostOf(const Request& aRequest)
+{
+  const auto host = FindHeader(aRequest.headers, "Host");
+  return host.substr(0, host.find(':'));
+}
+
+/// Time that the caller still gives the call, if it says so.
+std::optional<Millis>
+CallerDeadline(const Request& aRequest)
+{
+  const auto text = FindHeader(aRequest.headers, kDeadlineHeader);
+  std::int64_t millis = 0;
+  const auto [end, code] =
+    std::from_chars(text.data(), text.data() + text.size(), millis);
+  if (text.empty() || code != std::errc{} || millis < 0) {
+    return std::nullopt;
+  }
+  return Millis(millis);
+}
+
+unsigned
+StatusOf(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::TooLarge:
+      return 413;
+    case RefusalReason::NoTarget:
+    case RefusalReason::Overloaded:
+    case RefusalReason::Leaving:
+    case RefusalReason::NotReady:
+    case RefusalReason::Fenced:
+    case RefusalReason::Unreachable:
+    case RefusalReason::WrongService:
+    case RefusalReason::Cancelled:
+      return kUnavailable;
+    case RefusalReason::Expired:
+      return kGatewayTimeout;
+    case RefusalReason::Quarantined:
+      return kBadGateway;
+  }
+  return kUnavailable;
+}
+
+Response
+FaultResponse(HttpFault aFault)
+{
+  switch (aFault) {
+    case HttpFault::HeaderTooLarge:
+      return TextResponse(
+        431, "Not run: the request header is too large. Shorten it.\n");
+    case HttpFault::BodyTooLarge:
+      return TextResponse(
+        413, "Not run: the request body is too large for this service.\n");
+    case HttpFault::TooSlow:
+      return TextResponse(
+        408, "Not run: the request took too long to arrive. Send it again.\n");
+    case HttpFault::Malformed:
+      break;
+  }
+  return TextResponse(400, "Not run: this is not a valid HTTP request.\n");
+}
+
+Response
+MarkNotRun(Response aResponse)
+{
+  aResponse.headers.push_back({ std::string(kOutcomeHeader), "not-run" });
+  return aResponse;
+}
+
+CallClass
+ClassOf(const Response& aResponse, const ServiceSpec& aSpec, Duration aLatency)
+{
+  if (aResponse.status >= kServerError) {
+    return CallClass::Failed;
+  }
+  return aLatency > aSpec.objective.latency ? CallClass::Late : CallClass::Good;
+}
+
+}
+
+Ingress::Ingress(boost::asio::io_context& aContext,
+                 const RcuCell<RouteTable>& aRoutes,
+                 LinkIdentity aIdentity,
+                 const Settings& aSettings)
+  : routes(aRoutes)
+  , settings(aSettings)
+  , links(aContext, std::move(aIdentity), aSettings.timeouts)
+  , random(EntropySeed())
+{
+}
+
+HttpHandler
+Ingress::Handler()
+{
+  return {
+    [this](const HttpHead& aHead) -> std::size_t {
+      const Route route = this->routes.Read([&](const RouteTable& aTable) {
+        return aTable.Find(aHead.host, aHead.target);
+      });
+      return route
+               ? static_cast<std::size_t>(route->service->spec.limits.bodyBytes)
+               : 0;
+    },
+    [this](Request&& aRequest) { return this->Answer(std::move(aRequest)); },
+    [](HttpFault aFault) { return MarkNotRun(FaultResponse(aFault)); },
+  };
+}
+
+Response
+Ingress::Answer(Request&& aRequest)
+{
+  Route route = this->routes.Read([&](const RouteTable& aTable) {
+    return aTable.Find(HostOf(aRequest), aRequest.target);
+  });
+  if (!route) {
+    return MarkNotRun(TextResponse(
+      404, "Not run: no service answers for this host and path.\n"));
+  }
+  auto [found, added] = this->stats.try_emplace(route->service->spec.name);
+  const Call call = this->Prepare(std::move(route), std::move(aRequest));
+  call.route->state->retries.Earn();
+  Outcome outcome = this->Carry(call, found->second);
+  return this->Conclude(call, std::move(outcome), found->second);
+}
+
+Ingress::Call
+Ingress::Prepare(Route aRoute, Request&& aRequest) const
+{
+  const ServiceSpec& spec = aRoute->service->spec;
+  Call call;
+  call.began = Now();
+  Duration time = spec.deadline;
+  if (const auto given = CallerDeadline(aRequest)) {
+    time = std::min<Duration>(time, *given);
+  }
+  call.deadline = call.began + time;
+  call.idempotent = IsIdempotent(spec, aRequest.method, aRequest.target);
+  std::erase_if(aRequest.headers, [](const HeaderField& aField) {
+    return IsOwnHeader(aField.name);
+  });
+  aRequest.service = spec.name;
+  call.request = std::move(aRequest);
+  call.route = std::move(aRoute);
+  call.suspect = this->routes.Read(
+    [&](const RouteTable& aTable) -> std::optional<std::uint64_t> {
+      if (aTable.suspects.empty()) {
+        return std::nullopt;
+      }
+      const Fingerprint fingerprint = FingerprintOf(call.request);
+      return std::ranges::binary_search(aTable.suspects, fingerprint)
+               ? std::optional(fingerprint)
+               : std::nullopt;
+    });
+  return call;
+}
+
+Outcome
+Ingress::Carry(const Call& aCall, ServiceStats& aStats)
+{
+  const ServiceSpec& spec = aCall.route->service->spec;
+  CallPlan plan(aCall.idempotent, spec.retry.attempts, aCall.deadline);
+  std::vector<Endpoint> tried;
+  while (true) {
+    const ChosenTarget chosen = this->ChooseFor(aCall, tried);
+    if (!chosen.target) {
+      break;
+    }
+    ++aStats.attempts;
+    aStats.spilled += chosen.tier == Tier::OtherRegion ? 1 : 0;
+    tried.push_back(chosen.target->endpoint);
+    Outcome outcome = aCall.idempotent && spec.hedge.enabled
+                        ? this->AttemptHedged(aCall, chosen, tried)
+                        : this->Attempt(aCall, chosen);
+    if (plan.OnOutcome(std::move(outcome),
+                       aCall.route->state->retries,
+                       Now()) == PlanStep::Finish) {
+      break;
+    }
+  }
+  Outcome result = plan.Result();
+  if (auto* refusal = std::get_if<NotRun>(&result)) {
+    refusal->retried = refusal->retried || plan.Attempts() > 1;
+  }
+  return result;
+}
+
+ChosenTarget
+Ingress::ChooseFor(const Call& aCall, const std::vector<Endpoint>& aTried)
+{
+  if (aCall.suspect) {
+    return aTried.empty() ? ChooseIsolated(*aCall.route, *aCall.suspect)
+                          : ChosenTarget{};
+  }
+  const auto bytes = static_cast<std::int64_t>(aCall.request.body.size() +
+                                               aCall.request.target.size()) +
+                     kCallOverhead;
+  return ChooseTarget(*aCall.route, aTried, bytes, this->random, Now());
+}
+
+Outcome
+Ingress::Attempt(const Call& aCall, const ChosenTarget& aChosen)
+{
+  TargetRef& target = *aChosen.target;
+  const TimePoint began = Now();
+  target.load.Began();
+  AttemptResult result =
+    this->links.To(target.endpoint)
+      ->Run(aCall.request, aCall.idempotent, aCall.deadline);
+  target.load.Ended();
+  this->Learn(aCall, target, result, Now() - began);
+  return std::move(result.outcome);
+}
+
+Outcome
+Ingress::AttemptHedged(const Call& aCall,
+                       const ChosenTarget& aChosen,
+                       const std::vector<Endpoint>& aTried)
+{
+  struct Race
+  {
+    std::vector<Outcome> outcomes;
+    std::size_t started = 0;
+    Signal changed;
+  };
+  auto race = std::make_shared<Race>();
+  // The racers may outlive this call; they share what they need.
+  auto call = std::make_shared<const Call>(aCall);
+  const auto start = [&](const ChosenTarget& aTarget) {
+    ++race->started;
+    Spawn([this, race, call, aTarget] {
+      race->outcomes.push_back(this->Attempt(*call, aTarget));
+      race->changed.Notify();
+    });
+  };
+  start(aChosen);
+  const Duration mean = aCall.route->state->Prior().latency;
+  const auto delay = std::chrono::duration_cast<Duration>(mean * kHedgeFactor);
+  const bool ended =
+    race->changed.WaitUntil(std::min(aCall.deadline, Now() + delay));
+  if (!ended && aCall.route->state->retries.Spend()) {
+    const ChosenTarget second = this->ChooseFor(aCall, aTried);
+    if (second.target) {
+      start(second);
+    }
+  }
+  const auto answered = [](const Outcome& aOutcome) {
+    return std::holds_alternative<Answered>(aOutcome);
+  };
+  while (race->outcomes.size() < race->started &&
+         std::ranges::none_of(race->outcomes, answered)) {
+    race->changed.Wait();
+  }
+  const auto best = std::ranges::find_if(race->outcomes, answered);
+  if (best != race->outcomes.end()) {
+    return std::move(*best);
+  }
+  // Without an answer, "not run" needs that neither attempt may have run.
+  const auto unknown =
+    std::ranges::find_if(race->outcomes, [](const Outcome& aOutcome) {
+      return std::holds_alternative<OutcomeUnknown>(aOutcome);
+    });
+  return unknown != race->outcomes.end() ? *unknown : race->outcomes.front();
+}
+
+void
+Ingress::Learn(const Call& aCall,
+               TargetRef& aTarget,
+               const AttemptResult& aResult,
+               Duration aLatency)
+{
+  ServiceState& state = *aCall.route->state;
+  if (aResult.load) {
+    aTarget.load.Report(*aResult.load, Now());
+    state.ObserveOthers(aTarget.load.OthersPerSlot());
+  }
+  std::visit(Overloaded{
+               [&](const Answered&) {
+                 aTarget.breaker.Succeeded();
+                 aTarget.load.Measured(aLatency, Now());
+                 state.Observe(aLatency);
+               },
+               [&](const NotRun& aRefusal) {
+                 switch (aRefusal.reason) {
+                   case RefusalReason::Leaving:
+                   case RefusalReason::NotReady:
+                   case RefusalReason::WrongService:
+                     aTarget.breaker.HoldBack(Now(), kHoldBack);
+                     break;
+                   case RefusalReason::Unreachable:
+                     aTarget.breaker.Failed(Now());
+                     break;
+                   default:
+                     aTarget.breaker.Succeeded();
+                     break;
+                 }
+               },
+               [&](const OutcomeUnknown&) { aTarget.breaker.Failed(Now()); },
+             },
+             aResult.outcome);
+}
+
+Response
+Ingress::Conclude(const Call& aCall,
+                  Outcome aOutcome,
+                  ServiceStats& aStats) const
+{
+  const Duration latency = Now() - aCall.began;
+  const ServiceSpec& spec = aCall.route->service->spec;
+  return std::visit(
+    Overloaded{
+      [&](Answered& aAnswered) {
+        aStats.Record(ClassOf(aAnswered.response, spec, latency), latency);
+        return std::move(aAnswered.response);
+      },
+      [&](NotRun& aRefusal) {
+        aStats.Record(CallClass::NotRun, latency);
+        Log(kChannel,
+            LogLevel::Debug,
+            "call not run",
+            { { "service", spec.name },
+              { "reason", std::string(Name(aRefusal.reason)) },
+              { "detail", aRefusal.detail } });
+        return NotRunResponse(aRefusal);
+      },
+      [&](OutcomeUnknown& aUnknown) {
+        aStats.Record(CallClass::Unknown, latency);
+        Log(kChannel,
+            LogLevel::Info,
+            "outcome of a call unknown",
+            { { "service", spec.name }, { "detail", aUnknown.detail } });
+        return UnknownResponse(aUnknown);
+      },
+    },
+    aOutcome);
+}
+
+Response
+NotRunResponse(const NotRun& aRefusal)
+{
+  const bool again = aRefusal.reason != RefusalReason::Quarantined;
+  const std::string advice =
+    again ? "It is safe to send it again.\n"
+          : "Sending it again will not help; change the request.\n";
+  Response response = MarkNotRun(TextResponse(
+    StatusOf(aRefusal.reason), "Not run: " + aRefusal.detail + ". " + advice));
+  if (again) {
+    response.headers.push_back({ "Retry-After", "1" });
+  }
+  if (aRefusal.retried) {
+    response.headers.push_back({ std::string(kRetriedHeader), "1" });
+  }
+  return response;
+}
+
+Response
+UnknownResponse(const OutcomeUnknown& aUnknown)
+{
+  Response response = TextResponse(
+    kGatewayTimeout,
+    "Outcome unknown: " + aUnknown.detail +
+      ". The request may have been carried out. Check before sending it "
+      "again.\n");
+  response.headers.push_back({ std::string(kOutcomeHeader), "unknown" });
+  return response;
+}
+
+}
--- /dev/null
+++ b/src/baobab/node/peer_link.cpp
@@ -0,0 +1,239 @@
+#include "baobab/node/peer_link.hpp"
+
+#include "baobab/core/result.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/worker.hpp"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+namespace baobab {
+namespace {
+
+constexpr std::string_view kChannel = "link";
+
+/// Pause before a connection is tried again.
+constexpr Duration kReconnectPause = 50ms;
+
+/// Time without calls after which a link closes.
+constexpr Duration kIdleTime = 60s;
+
+/// Heartbeats that are left out while a link has no calls in flight.
+constexpr unsigned kIdleBeats = 8;
+
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+}
+
+PeerLink::PeerLink(boost::asio::io_context& aContext,
+                   Endpoint aEndpoint,
+                   LinkIdentity aIdentity,
+                   const Timeouts& aTimeouts)
+  : context(aContext)
+  , endpoint(aEndpoint)
+  , identity(std::move(aIdentity))
+  , timeouts(aTimeouts)
+{
+}
+
+AttemptResult
+PeerLink::Run(const Request& aRequest, bool aIdempotent, TimePoint aDeadline)
+{
+  const CallId id{ this->identity.sender, this->nextSequence++ };
+  Pending pending{ CallAttempt(id, aIdempotent, aDeadline), aRequest };
+  this->pending.emplace(id.sequence, &pending);
+  this->lastUsed = Now();
+  if (this->ready) {
+    this->Perform(pending,
+                  pending.attempt.OnWelcome(this->incarnation, this->number));
+  } else if (!this->maintained) {
+    this->maintained = true;
+    Spawn([self = this->shared_from_this()] { self->Maintain(); });
+  }
+  if (!pending.attempt.Result() && !pending.finished.WaitUntil(aDeadline)) {
+    pending.attempt.OnDeadline();
+    if (this->ready && pending.attempt.WasSent()) {
+      this->connection->Send(CancelMessage{ id });
+    }
+  }
+  this->pending.erase(id.sequence);
+  return { *pending.attempt.Result(), pending.load };
+}
+
+void
+PeerLink::Perform(Pending& aPending, AttemptAction aAction)
+{
+  const CallAttempt& attempt = aPending.attempt;
+  switch (aAction) {
+    case AttemptAction::SendCall:
+      this->connection->Send(CallMessage{
+        attempt.Id(),
+        aPending.request,
+        std::chrono::duration_cast<Micros>(attempt.Deadline() - Now()),
+        attempt.Idempotent() });
+      break;
+    case AttemptAction::SendAsk:
+      this->connection->Send(AskMessage{ attempt.Id(), attempt.SentOn() });
+      break;
+    case AttemptAction::Finish:
+      aPending.finished.Notify();
+      break;
+    case AttemptAction::Reconnect:
+    case AttemptAction::Wait:
+      break;
+  }
+}
+
+void
+PeerLink::Maintain()
+{
+  while (!this->pending.empty()) {
+    if (this->Connect() && this->ShakeHands()) {
+      this->ReadUntilLost();
+      this->ForEachPending(
+        [](CallAttempt& aAttempt) { return aAttempt.OnConnectionLost(); });
+      continue;
+    }
+    this->ForEachPending(
+      [](CallAttempt& aAttempt) { return aAttempt.OnConnectFailed(); });
+    boost::this_fiber::sleep_for(kReconnectPause);
+  }
+  this->maintained = false;
+}
+
+bool
+PeerLink::Connect()
+{
+  auto socket =
+    baobab::Connect(this->context, this->endpoint, this->timeouts.connect);
+  if (!Succeeded(socket)) {
+    Log(kChannel,
+        LogLevel::Debug,
+        "connect failed",
+        { { "peer", ToString(this->endpoint) },
+          { "error", Failure(socket).message } });
+    return false;
+  }
+  this->connection =
+    std::make_shared<FrameConnection>(std::move(Value(socket)));
+  return true;
+}
+
+bool
+PeerLink::ShakeHands()
+{
+  ++this->number;
+  const auto current = this->connection;
+  current->Send(
+    HelloMessage{ this->identity.sender, this->number, this->identity.region });
+  Spawn([self = this->shared_from_this(), current] { self->Beat(current); });
+  auto message = current->Read();
+  if (!Succeeded(message) ||
+      !std::holds_alternative<WelcomeMessage>(Value(message))) {
+    current->Close();
+    return false;
+  }
+  this->incarnation = std::get<WelcomeMessage>(Value(message)).incarnation;
+  this->ready = true;
+  this->ForEachPending([&](CallAttempt& aAttempt) {
+    return aAttempt.OnWelcome(this->incarnation, this->number);
+  });
+  return true;
+}
+
+void
+PeerLink::ReadUntilLost()
+{
+  while (true) {
+    auto message = this->connection->Read();
+    if (!Succeeded(message)) {
+      break;
+    }
+    this->Dispatch(Value(message));
+  }
+  this->ready = false;
+}
+
+void
+PeerLink::Dispatch(PeerMessage& aMessage)
+{
+  const auto with = [&](const CallId& aId, auto aEvent) {
+    if (Pending* pending = this->Find(aId)) {
+      this->Perform(*pending, aEvent(*pending));
+    }
+  };
+  std::visit(
+    Overloaded{
+      [&](AnswerMessage& aAnswer) {
+        this->connection->Send(ReleaseMessage{ aAnswer.id });
+        with(aAnswer.id, [&](Pending& aPending) {
+          aPending.load = aAnswer.load;
+          return aPending.attempt.OnAnswer(std::move(aAnswer.response));
+        });
+      },
+      [&](RefusalMessage& aRefusal) {
+        with(aRefusal.id, [&](Pending& aPending) {
+          aPending.load = aRefusal.load;
+          return aPending.attempt.OnRefusal(std::move(aRefusal.refusal));
+        });
+      },
+      [&](LostMessage& aLost) {
+        this->connection->Send(ReleaseMessage{ aLost.id });
+        with(aLost.id,
+             [](Pending& aPending) { return aPending.attempt.OnLost(); });
+      },
+      [&](RunningMessage& aRunning) {
+        with(aRunning.id,
+             [](Pending& aPending) { return aPending.attempt.OnRunning(); });
+      },
+      [](auto&) {},
+    },
+    aMessage);
+}
+
+void
+PeerLink::Beat(std::shared_ptr<FrameConnection> aConnection)
+{
+  unsigned beats = 0;
+  while (aConnection->IsOpen()) {
+    boost::this_fiber::sleep_for(this->timeouts.heartbeat);
+    if (Now() - aConnection->UnansweredSince() > this->timeouts.silence) {
+      Log(kChannel,
+          LogLevel::Info,
+          "link is silent",
+          { { "peer", ToString(this->endpoint) } });
+      aConnection->Close();
+      return;
+    }
+    const bool idle = this->pending.empty();
+    if (idle && Now() - this->lastUsed > kIdleTime) {
+      aConnection->Close();
+      return;
+    }
+    if (!idle || ++beats % kIdleBeats == 0) {
+      aConnection->Send(HeartbeatMessage{});
+    }
+  }
+}
+
+PeerLink::Pending*
+PeerLink::Find(const CallId& aId)
+{
+  const auto found = this->pending.find(aId.sequence);
+  return found == this->pending.end() ? nullptr : found->second;
+}
+
+template<class F>
+void
+PeerLink::ForEachPending(F aEvent)
+{
+  for (auto& [sequence, pending] : this->pending) {
+    this->Perform(*pending, aEvent(pending->attempt));
+  }
+}
+
+}
--- /dev/null
+++ b/src/baobab/node/peer_server.cpp
@@ -0,0 +1,107 @@
+#include "baobab/node/peer_server.hpp"
+
+#include "baobab/core/result.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/worker.hpp"
+
+#include <boost/fiber/operations.hpp>
+
+namespace baobab {
+namespace {
+
+constexpr std::string_view kChannel = "peers";
+constexpr Duration kAcceptPause = 20ms;
+
+}
+
+void
+PeerServer::Serve(Tcp::acceptor& aAcceptor)
+{
+  while (aAcceptor.is_open()) {
+    Tcp::socket socket(aAcceptor.get_executor());
+    const IoResult accepted =
+      Await([&](auto aDone) { aAcceptor.async_accept(socket, aDone); });
+    if (!accepted) {
+      if (accepted.error == boost::asio::error::operation_aborted) {
+        return;
+      }
+      boost::this_fiber::sleep_for(kAcceptPause);
+      continue;
+    }
+    auto frames = std::make_shared<FrameConnection>(std::move(socket));
+    Spawn([this, frames] { this->ServeConnection(frames); });
+  }
+}
+
+void
+PeerServer::ServeConnection(std::shared_ptr<FrameConnection> aFrames)
+{
+  SenderConnection connection;
+  connection.frames = aFrames;
+  while (true) {
+    auto message = aFrames->Read();
+    if (!Succeeded(message)) {
+      if (Failure(message).kind != ErrorKind::ConnectionLost) {
+        Log(kChannel, LogLevel::Warning, Describe(Failure(message)));
+      }
+      break;
+    }
+    if (!this->Handle(connection, std::move(Value(message)))) {
+      break;
+    }
+  }
+  aFrames->Close();
+  if (connection.number != 0) {
+    this->calls.Close(connection);
+  }
+}
+
+bool
+PeerServer::Handle(SenderConnection& aConnection, PeerMessage aMessage)
+{
+  if (const auto* hello = std::get_if<HelloMessage>(&aMessage)) {
+    return this->Greet(aConnection, *hello);
+  }
+  if (this->control(aConnection.frames, aMessage)) {
+    return true;
+  }
+  if (std::holds_alternative<HeartbeatMessage>(aMessage)) {
+    aConnection.frames->Send(HeartbeatMessage{ true });
+    return true;
+  }
+  if (aConnection.number == 0) {
+    return false;
+  }
+  std::visit(
+    Overloaded{
+      [&](CallMessage& aCall) {
+        this->calls.OnCall(aConnection, std::move(aCall));
+      },
+      [&](AskMessage& aAsk) { this->calls.OnAsk(aConnection, aAsk); },
+      [&](ReleaseMessage& aRelease) { this->calls.OnRelease(aRelease); },
+      [&](CancelMessage& aCancel) { this->calls.OnCancel(aCancel); },
+      [](auto&) {},
+    },
+    aMessage);
+  return true;
+}
+
+bool
+PeerServer::Greet(SenderConnection& aConnection, const HelloMessage& aHello)
+{
+  if (aConnection.number != 0 || aHello.connection == 0) {
+    return false;
+  }
+  SenderConnection opened = aConnection;
+  opened.sender = aHello.sender;
+  opened.number = aHello.connection;
+  opened.across = aHello.region != this->settings.locality.region;
+  if (!this->calls.Open(opened)) {
+    return false;
+  }
+  aConnection = opened;
+  aConnection.frames->Send(WelcomeMessage{ this->incarnation });
+  return true;
+}
+
+}
--- /dev/null
+++ b/src/baobab/node/route_publisher.cpp
@@ -0,0 +1,60 @@
+#include "baobab/node/route_publisher.hpp"
+
+#include <algorithm>
+
+namespace baobab {
+
+RoutePublisher::RoutePublisher(Membership& aMembership,
+                               Quarantine& aQuarantine,
+                               RcuCell<RouteTable>& aRoutes,
+                               Locality aLocality)
+  : membership(aMembership)
+  , quarantine(aQuarantine)
+  , routes(aRoutes)
+  , builder(std::move(aLocality))
+  , configuration(std::make_shared<const Configuration>())
+{
+}
+
+void
+RoutePublisher::SetConfiguration(
+  std::shared_ptr<const Configuration> aConfiguration)
+{
+  this->configuration = std::move(aConfiguration);
+  this->changed = true;
+  this->Refresh(std::chrono::steady_clock::now());
+}
+
+void
+RoutePublisher::Refresh(TimePoint aNow)
+{
+  if (!this->changed && this->publishedVersion == this->membership.Version()) {
+    return;
+  }
+  this->changed = false;
+  this->publishedVersion = this->membership.Version();
+  auto table = this->builder.Build(*this->configuration,
+                                   this->membership.Living(),
+                                   this->quarantine.Suspects(aNow));
+  this->DivideBudgets(*table, aNow);
+  this->routes.Replace(std::move(table));
+}
+
+void
+RoutePublisher::DivideBudgets(const RouteTable& aTable, TimePoint aNow)
+{
+  const std::int64_t daemons = this->membership.SpenderCount(aNow);
+  const bool settled = this->membership.Settled(aNow);
+  std::ranges::for_each(aTable.routes, [&](const auto& aRoute) {
+    const ServiceSpec& spec = aRoute->service->spec;
+    const auto share = [&](std::int64_t aRate) {
+      return ShareOf(aRate, daemons, settled);
+    };
+    aRoute->state->measuring.SetRate(share(spec.measuring.bytesPerSecond));
+    aRoute->state->measuringAcross.SetRate(
+      share(spec.measuring.crossRegionBytesPerSecond));
+    aRoute->state->spill.SetRate(share(spec.spill.bytesPerSecond));
+  });
+}
+
+}
--- /dev/null
+++ b/src/baobab/node/target_client.cpp
@@ -0,0 +1,128 @@
+#include "baobab/node/target_client.hpp"
+
+#include "baobab/net/http_server.hpp"
+#include "baobab/node/headers.hpp"
+
+#include <algorithm>
+
+namespace baobab {
+namespace {
+
+constexpr unsigned kServiceUnavailable = 503;
+
+/// True if the target says that it did not run this very call. The call's id
+/// proves that the answer was not passed on from a call further down.
+bool
+WasShed(const Response& aResponse, const CallId& aId)
+{
+  return aResponse.status == kServiceUnavailable &&
+         FindHeader(aResponse.headers, kNotRunHeader) == ToString(aId);
+}
+
+}
+
+void
+TargetClient::SetEndpoint(const Endpoint& aEndpoint)
+{
+  if (this->endpoint != aEndpoint) {
+    this->endpoint = aEndpoint;
+    this->pool.clear();
+  }
+}
+
+TargetResult
+TargetClient::Run(const TargetCall& aCall, HttpClient*& aConnection)
+{
+  if (aCall.idempotent) {
+    if (auto pooled = this->TakePooled()) {
+      HttpClient* client = pooled.get();
+      TargetResult result =
+        this->Exchange(aCall, std::move(pooled), aConnection);
+      static_cast<void>(client);
+      if (!result.broken) {
+        return result;
+      }
+    }
+  }
+  const Duration left = aCall.deadline - std::chrono::steady_clock::now();
+  auto opened =
+    HttpClient::Open(this->context,
+                     this->endpoint,
+                     std::min<Duration>(left, this->settings.timeouts.connect));
+  if (!Succeeded(opened)) {
+    return { NotRun{ RefusalReason::NotReady,
+                     "the target accepts no connection" } };
+  }
+  return this->Exchange(aCall, std::move(Value(opened)), aConnection);
+}
+
+bool
+TargetClient::IsListening()
+{
+  return Succeeded(HttpClient::Open(
+    this->context, this->endpoint, this->settings.timeouts.connect));
+}
+
+std::unique_ptr<HttpClient>
+TargetClient::TakePooled()
+{
+  while (!this->pool.empty()) {
+    auto client = std::move(this->pool.back());
+    this->pool.pop_back();
+    if (client->Reusable()) {
+      return client;
+    }
+  }
+  return nullptr;
+}
+
+TargetResult
+TargetClient::Exchange(const TargetCall& aCall,
+                       std::unique_ptr<HttpClient> aClient,
+                       HttpClient*& aConnection)
+{
+  const Duration left = aCall.deadline - std::chrono::steady_clock::now();
+  if (left <= Duration::zero()) {
+    return { NotRun{ RefusalReason::Expired, "the deadline passed" } };
+  }
+  aConnection = aClient.get();
+  auto response =
+    aClient->Exchange(this->Prepare(aCall), aCall.answerBytes, left);
+  aConnection = nullptr;
+  if (!Succeeded(response)) {
+    const Error& error = Failure(response);
+    return { OutcomeUnknown{ "target: " + error.message },
+             error.kind == ErrorKind::ConnectionLost &&
+               !aClient->AnswerBegan() };
+  }
+  if (this->pool.size() <
+        static_cast<std::size_t>(this->settings.targetConnections) &&
+      aClient->Reusable()) {
+    this->pool.push_back(std::move(aClient));
+  }
+  Response& answer = Value(response);
+  if (WasShed(answer, aCall.id)) {
+    return { NotRun{ RefusalReason::Overloaded,
+                     "the target shed the call",
+                     !FindHeader(answer.headers, kRetriedHeader).empty() } };
+  }
+  std::erase_if(answer.headers, [](const HeaderField& aField) {
+    return IsOwnHeader(aField.name);
+  });
+  return { Answered{ std::move(answer) } };
+}
+
+Request
+TargetClient::Prepare(const TargetCall& aCall) const
+{
+  Request request = aCall.request;
+  const auto left = std::chrono::duration_cast<Millis>(
+    aCall.deadline - std::chrono::steady_clock::now());
+  request.headers.push_back({ std::string(kCallHeader), ToString(aCall.id) });
+  request.headers.push_back(
+    { std::string(kDeadlineHeader),
+      std::to_string(std::max<std::int64_t>(1, left.count())) });
+  return request;
+}
+
+}
--- /dev/null
+++ b/src/baobab/wire/gossip_codec.cpp
@@ -0,0 +1,105 @@
+#include "baobab/wire/gossip_codec.hpp"
+
+#include "member_codec.hpp"
+
+#include <chrono>
+#include <cmath>
+
+namespace baobab {
+namespace {
+
+Error
+Bad(const char* aWhat)
+{
+  return { ErrorKind::BadMessage, aWhat, "" };
+}
+
+}
+
+std::string
+EncodeGossip(const GossipMessage& aMessage)
+{
+  flatbuffers::FlatBufferBuilder builder(kLargestDatagram);
+  const auto sender = EncodeMember(builder, aMessage.sender);
+  std::vector<flatbuffers::Offset<wire::fb::Member>> news;
+  for (const MemberRecord& record : aMessage.news) {
+    news.push_back(EncodeMember(builder, record));
+  }
+  std::vector<wire::fb::Suspect> suspicions;
+  for (const Suspicion& suspicion : aMessage.suspicions) {
+    suspicions.emplace_back(
+      suspicion.fingerprint,
+      suspicion.crash,
+      static_cast<float>(suspicion.weight),
+      static_cast<std::uint32_t>(suspicion.remaining / 1ms),
+      suspicion.cleared);
+  }
+  const Endpoint subject = aMessage.subject.value_or(Endpoint{});
+  const auto root =
+    wire::fb::CreateGossip(builder,
+                           static_cast<std::uint8_t>(aMessage.kind),
+                           aMessage.nonce,
+                           aMessage.generation,
+                           aMessage.digest,
+                           sender,
+                           aMessage.subject.has_value(),
+                           subject.address,
+                           subject.port,
+                           builder.CreateVector(news),
+                           builder.CreateVectorOfStructs(suspicions));
+  builder.Finish(root, wire::fb::GossipIdentifier());
+  return { reinterpret_cast<const char*>(builder.GetBufferPointer()),
+           builder.GetSize() };
+}
+
+Result<GossipMessage>
+DecodeGossip(std::span<const std::uint8_t> aBytes)
+{
+  flatbuffers::Verifier verifier(aBytes.data(), aBytes.size());
+  if (aBytes.size() < 2 * sizeof(std::uint32_t) ||
+      !wire::fb::VerifyGossipBuffer(verifier)) {
+    return Bad("not a gossip datagram");
+  }
+  const wire::fb::Gossip& gossip = *wire::fb::GetGossip(aBytes.data());
+  if (gossip.kind() > static_cast<std::uint8_t>(GossipKind::News)) {
+    return Bad("unknown kind of datagram");
+  }
+  GossipMessage message;
+  message.kind = static_cast<GossipKind>(gossip.kind());
+  message.nonce = gossip.nonce();
+  message.generation = gossip.generation();
+  message.digest = gossip.digest();
+  auto sender = DecodeMember(*gossip.sender());
+  if (!Succeeded(sender)) {
+    return Failure(sender);
+  }
+  message.sender = std::move(Value(sender));
+  if (gossip.has_subject()) {
+    message.subject =
+      Endpoint{ gossip.subject_address(), gossip.subject_port() };
+  }
+  if (gossip.news() != nullptr) {
+    for (const wire::fb::Member* member : *gossip.news()) {
+      auto record = DecodeMember(*member);
+      if (!Succeeded(record)) {
+        return Failure(record);
+      }
+      message.news.push_back(std::move(Value(record)));
+    }
+  }
+  if (gossip.suspicions() != nullptr) {
+    for (const wire::fb::Suspect* suspect : *gossip.suspicions()) {
+      if (!std::isfinite(suspect->weight())) {
+        return Bad("suspicion without a weight");
+      }
+      message.suspicions.push_back({ suspect->fingerprint(),
+                                     suspect->crash(),
+                                     suspect->weight(),
+                                     suspect->cleared(),
+                                     Millis(suspect->remaining_ms()) });
+    }
+  }
+  return message;
+}
+
+}
--- /dev/null
+++ b/src/bin/baobab_publish.cpp
@@ -0,0 +1,204 @@
+/// @file
+/// Checks service files and publishes them.
+#include "baobab/core/service.hpp"
+#include "baobab/net/http_store.hpp"
+#include "baobab/net/publish.hpp"
+#include "baobab/net/worker.hpp"
+#include "command_line.hpp"
+
+#include <algorithm>
+#include <filesystem>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <set>
+
+DEFINE_string(store,
+              "",
+              "address of the object store, for example 10.0.0.5:80");
+DEFINE_bool(check, false, "check the files only; needs no store");
+DEFINE_bool(diff, false, "show what would change; publishes nothing");
+
+namespace baobab {
+namespace {
+
+constexpr char kUsage[] =
+  "checks service files and publishes them together\n\n"
+  "  baobab-publish --store ADDRESS FILE_OR_DIRECTORY...\n"
+  "  baobab-publish --check FILE_OR_DIRECTORY...\n"
+  "  baobab-publish --diff --store ADDRESS FILE_OR_DIRECTORY...\n\n"
+  "Directories are searched for *.toml.\n"
+  "Exit codes: 0 published or already in force, 2 wrong command line,\n"
+  "3 not published: the store is away, 4 refused: a file is not valid,\n"
+  "5 conflict with what is published, 6 unknown: publish again to learn.";
+
+constexpr int kExitRefused = 4;
+constexpr int kExitConflict = 5;
+constexpr int kExitUnknown = 6;
+
+constexpr Duration kStoreTime = 5s;
+
+std::vector<std::string>
+FindFiles(const std::vector<std::string>& aPaths)
+{
+  namespace fs = std::filesystem;
+  std::vector<std::string> files;
+  for (const std::string& path : aPaths) {
+    if (!fs::is_directory(path)) {
+      files.push_back(path);
+      continue;
+    }
+    for (const auto& item : fs::recursive_directory_iterator(path)) {
+      if (item.path().extension() == ".toml") {
+        files.push_back(item.path().string());
+      }
+    }
+  }
+  std::ranges::sort(files);
+  return files;
+}
+
+Result<ServiceFile>
+LoadFile(const std::string& aPath)
+{
+  auto text = ReadTextFile(aPath);
+  if (!Succeeded(text)) {
+    return Failure(text);
+  }
+  auto service = ParseService(Value(text), aPath);
+  if (!Succeeded(service)) {
+    return Failure(service);
+  }
+  const ServiceSpec& spec = Value(service);
+  const std::string hash = ContentHash(Value(text));
+  return ServiceFile{ aPath,
+                      std::move(Value(text)),
+                      { spec.name, spec.revision, hash, 0 } };
+}
+
+/// Loads all files and prints every error. Nothing if there was one.
+std::optional<std::vector<ServiceFile>>
+LoadFiles(const std::vector<std::string>& aPaths)
+{
+  std::vector<ServiceFile> files;
+  std::set<std::string> names;
+  bool valid = true;
+  for (const std::string& path : aPaths) {
+    auto file = LoadFile(path);
+    if (!Succeeded(file)) {
+      std::cerr << Describe(Failure(file)) << "\n";
+      valid = false;
+    } else if (!names.insert(Value(file).entry.name).second) {
+      std::cerr << path << ":1:1: service '" << Value(file).entry.name
+                << "' is declared twice (keep one of the files)\n";
+      valid = false;
+    } else {
+      files.push_back(std::move(Value(file)));
+    }
+  }
+  return valid ? std::optional(std::move(files)) : std::nullopt;
+}
+
+int
+ExitCodeOf(const Error& aError)
+{
+  switch (aError.kind) {
+    case ErrorKind::Conflict:
+      return kExitConflict;
+    case ErrorKind::OutcomeUnknown:
+      return kExitUnknown;
+    default:
+      return kExitUnavailable;
+  }
+}
+
+int
+Fail(const Error& aError)
+{
+  const int code = ExitCodeOf(aError);
+  const std::string_view word = code == kExitConflict  ? "conflict: "
+                                : code == kExitUnknown ? "unknown: "
+                                                       : "not published: ";
+  std::cerr << word << Describe(aError) << "\n";
+  return code;
+}
+
+int
+ShowDiff(HttpStore& aStore, const std::vector<ServiceFile>& aFiles)
+{
+  const auto current = ReadManifest(aStore);
+  if (!Succeeded(current)) {
+    return Fail(Failure(current));
+  }
+  const auto& entries = Value(current).manifest.entries;
+  for (const ServiceFile& file : aFiles) {
+    const auto& [name, revision, hash, generation] = file.entry;
+    const auto old = std::ranges::find(entries, name, &ManifestEntry::name);
+    if (old == entries.end()) {
+      std::cout << "+ " << name << " revision " << revision << " (new)\n";
+    } else if (old->hash == hash && old->revision == revision) {
+      std::cout << "= " << name << " revision " << revision << "\n";
+    } else if (revision > old->revision) {
+      std::cout << "~ " << name << " revision " << old->revision << " -> "
+                << revision << "\n";
+    } else {
+      std::cout << "! " << name << " revision " << revision
+                << " conflicts with the published " << old->revision << "\n";
+    }
+  }
+  return 0;
+}
+
+int
+PublishFiles(HttpStore& aStore, const std::vector<ServiceFile>& aFiles)
+{
+  const auto published = Publish(aStore, aFiles);
+  if (!Succeeded(published)) {
+    return Fail(Failure(published));
+  }
+  std::cout << (Value(published).changed ? "published" : "already in force")
+            << ": generation " << Value(published).generation << "\n";
+  return 0;
+}
+
+int
+Run(const std::vector<std::string>& aPaths)
+{
+  if (aPaths.empty() || (!FLAGS_check && FLAGS_store.empty())) {
+    std::cerr << "baobab-publish " << kUsage << "\n";
+    return kExitUsage;
+  }
+  const auto files = LoadFiles(FindFiles(aPaths));
+  if (!files) {
+    std::cerr << "refused: nothing was published\n";
+    return kExitRefused;
+  }
+  if (FLAGS_check) {
+    std::cout << files->size() << " files are valid\n";
+    return 0;
+  }
+  const auto endpoint = ParseEndpoint(FLAGS_store);
+  if (!Succeeded(endpoint)) {
+    std::cerr << "--store: " << Describe(Failure(endpoint)) << "\n";
+    return kExitUsage;
+  }
+  int code = 0;
+  Worker worker;
+  worker.RunHere([&] {
+    HttpStore store(worker.Context(), Value(endpoint), kStoreTime);
+    code = FLAGS_diff ? ShowDiff(store, *files) : PublishFiles(store, *files);
+    worker.Stop();
+  });
+  return code;
+}
+
+}
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  baobab::ParseCommandLine(baobab::kUsage, BAOBAB_VERSION, aCount, aArguments);
+  const int code = baobab::Run({ aArguments + 1, aArguments + aCount });
+  std::cout.flush();
+  std::_Exit(code);
+}
--- /dev/null
+++ b/testing/test_main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE baobab
+#include <boost/test/unit_test.hpp>
