--- /dev/null
+++ b/src/baobab/wire/codec_test.cpp
@@ -0,0 +1,168 @@
+#include "baobab/core/random.hpp"
+#include "baobab/wire/gossip_codec.hpp"
+#include "baobab/wire/peer_codec.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <cstring>
+
+namespace baobab {
+namespace {
+
+constexpr int kMutations = 20000;
+
+/// Bytes on an 8-byte boundary.
+class Aligned
+{
+public:
+  explicit Aligned(std::string_view aBytes)
+    : words(aBytes.size() / sizeof(std::uint64_t) + 1)
+    , size(aBytes.size())
+  {
+    std::memcpy(this->words.data(), aBytes.data(), aBytes.size());
+  }
+
+  std::span<const std::uint8_t> Span() const
+  {
+    return { reinterpret_cast<const std::uint8_t*>(this->words.data()),
+             this->size };
+  }
+
+private:
+  std::vector<std::uint64_t> words;
+  std::size_t size;
+};
+
+GossipMessage
+SampleGossip()
+{
+  GossipMessage message;
+  message.kind = GossipKind::PingRequest;
+  message.nonce = 5;
+  message.generation = 9;
+  message.digest = 77;
+  message.sender = { { 0x7f000001, 7100 }, 3,  MemberState::Alive,
+                     { "perth", "north" }, "q", TargetState::Ready, 20 };
+  message.subject = Endpoint{ 0x7f000002, 7100 };
+  message.news = { message.sender, message.sender };
+  message.suspicions = { { 1, 2, 0.5, true, 3s } };
+  return message;
+}
+
+CallMessage
+SampleCall()
+{
+  return { { 1, 2 },
+           { "quoting", "POST", "/a?b", { { "Host", "h" } }, "body" },
+           Micros(1500),
+           true };
+}
+
+std::string
+Payload(const PeerMessage& aMessage)
+{
+  std::string frame;
+  AppendFrame(aMessage, frame);
+  return frame.substr(kFrameHeaderBytes);
+}
+
+std::string
+Mutate(std::string aBytes, SplitMix& aRandom)
+{
+  const std::size_t changes = 1 + Below(aRandom, 6);
+  for (std::size_t i = 0; i < changes && !aBytes.empty(); ++i) {
+    aBytes[Below(aRandom, aBytes.size())] = static_cast<char>(aRandom());
+  }
+  if (Below(aRandom, 4) == 0) {
+    aBytes.resize(Below(aRandom, aBytes.size() + 1));
+  }
+  return aBytes;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(codec)
+
+BOOST_AUTO_TEST_CASE(gossip_survives_the_wire)
+{
+  const GossipMessage sent = SampleGossip();
+  const auto read = DecodeGossip(Aligned(EncodeGossip(sent)).Span());
+  BOOST_REQUIRE(Succeeded(read));
+  const GossipMessage& got = Value(read);
+  BOOST_TEST(got.nonce == sent.nonce);
+  BOOST_TEST(got.digest == sent.digest);
+  BOOST_TEST((got.sender == sent.sender));
+  BOOST_TEST((got.news == sent.news));
+  BOOST_TEST((got.subject == sent.subject));
+  BOOST_REQUIRE(got.suspicions.size() == 1U);
+  BOOST_TEST(got.suspicions[0].cleared);
+  BOOST_TEST((got.suspicions[0].remaining == 3s));
+}
+
+BOOST_AUTO_TEST_CASE(a_call_survives_the_wire)
+{
+  const auto read = DecodeFrame(Aligned(Payload(SampleCall())).Span());
+  BOOST_REQUIRE(Succeeded(read));
+  const auto* call = std::get_if<CallMessage>(&Value(read));
+  BOOST_REQUIRE(call != nullptr);
+  BOOST_TEST((call->id == SampleCall().id));
+  BOOST_TEST((call->request == SampleCall().request));
+  BOOST_TEST((call->remaining == 1500us));
+  BOOST_TEST(call->idempotent);
+}
+
+BOOST_AUTO_TEST_CASE(other_messages_survive_the_wire)
+{
+  const RefusalMessage refusal{ { 1, 2 },
+                                { RefusalReason::Leaving, "why", true },
+                                LoadReport{ 3, 4, 20 } };
+  const auto read = DecodeFrame(Aligned(Payload(refusal)).Span());
+  BOOST_REQUIRE(Succeeded(read));
+  const auto& got = std::get<RefusalMessage>(Value(read));
+  BOOST_TEST((got.refusal.reason == RefusalReason::Leaving));
+  BOOST_TEST(got.refusal.retried);
+  BOOST_TEST((got.load == LoadReport{ 3, 4, 20 }));
+  const MemberListMessage list{ SampleGossip().news };
+  const auto members = DecodeFrame(Aligned(Payload(list)).Span());
+  BOOST_REQUIRE(Succeeded(members));
+  BOOST_TEST(
+    (std::get<MemberListMessage>(Value(members)).members == list.members));
+}
+
+BOOST_AUTO_TEST_CASE(mutated_bytes_are_refused_or_decoded_without_harm)
+{
+  SplitMix random(42);
+  const std::string gossip = EncodeGossip(SampleGossip());
+  const std::vector<std::string> frames = {
+    Payload(SampleCall()),
+    Payload(AnswerMessage{ { 1, 2 }, { 200, { { "A", "b" } }, "x" }, {} }),
+    Payload(MemberListMessage{ SampleGossip().news }),
+    Payload(ConfigReplyMessage{
+      { 1, 2, { { "a", 1, "hash", 2 } }, { "text" } } }),
+  };
+  std::size_t refused = 0;
+  for (int i = 0; i < kMutations; ++i) {
+    refused +=
+      Succeeded(DecodeGossip(Aligned(Mutate(gossip, random)).Span())) ? 0 : 1;
+    const auto& frame = frames[Below(random, frames.size())];
+    refused +=
+      Succeeded(DecodeFrame(Aligned(Mutate(frame, random)).Span())) ? 0 : 1;
+  }
+  BOOST_TEST(refused > 1000U);
+}
+
+BOOST_AUTO_TEST_CASE(foreign_and_oversized_bytes_are_refused)
+{
+  BOOST_TEST(!Succeeded(DecodeGossip({})));
+  BOOST_TEST(!Succeeded(DecodeGossip(Aligned("GET / HTTP/1.1\r\n").Span())));
+  BOOST_TEST(!Succeeded(DecodeFrame({})));
+  const std::array<std::uint8_t, kFrameHeaderBytes> huge = { 0xff, 0xff,
+                                                             0xff, 0x7f };
+  const auto length =
+    FrameLength(std::span<const std::uint8_t, kFrameHeaderBytes>(huge));
+  BOOST_REQUIRE(!Succeeded(length));
+  BOOST_TEST((Failure(length).kind == ErrorKind::TooLarge));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
