Regions: bounded crossings, contact ages by gossip, demo of both layouts

Cause: the demo once timed out because a host in one region did not learn of a target in the other within 30 s. News crossed only with one probe in eight, and full exchanges stayed inside the region. Ruled out: a lost announcement (the target's own region knew it) and equal digests (they differed). Change: about three daemons of a region pass news on to each other region, whatever its size, so link bytes do not grow with the fleet; the age of the last contact with each region travels with gossip, and parted regions are a view of it instead of a state of each member.

--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -7,6 +7,7 @@
 #include "baobab/core/schema.hpp"
 #include "baobab/core/time.hpp"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,8 @@
 {
   Endpoint callers;
   Endpoint peers;
+  /// Address that is announced to other daemons; unset: `peers`.
+  std::optional<Endpoint> announced;
   Endpoint admin;
   Endpoint store;
   Locality locality;
@@ -49,6 +52,9 @@
   std::string logLevel = "info";
   Timeouts timeouts;
   ControlBudget control;
+
+  /// Address by which other daemons know this one.
+  Endpoint Identity() const { return this->announced.value_or(this->peers); }
 };
 
 /// The keys of a settings file.
--- a/include/baobab/decision/gossip_message.hpp
+++ b/include/baobab/decision/gossip_message.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "baobab/decision/member.hpp"
+#include "baobab/decision/region_contacts.hpp"
 #include "baobab/decision/suspicion.hpp"
 
 #include <cstdint>
@@ -33,6 +34,7 @@
   std::optional<Endpoint> subject;
   std::vector<MemberRecord> news;
   std::vector<Suspicion> suspicions;
+  std::vector<RegionAge> contacts;
 };
 
 /// A datagram and where it goes.
--- a/include/baobab/decision/member.hpp
+++ b/include/baobab/decision/member.hpp
@@ -15,9 +15,9 @@
 {
   Alive,
   Suspect,
-  /// In a region that cannot be reached; kept and probed slowly.
-  Unreachable,
   Dead,
+  /// In a region that is not heard. A view only, never sent.
+  Unreachable,
 };
 
 /// One daemon and its target, as it is spread by gossip.
--- a/include/baobab/decision/membership.hpp
+++ b/include/baobab/decision/membership.hpp
@@ -5,10 +5,12 @@
 #include "baobab/core/random.hpp"
 #include "baobab/core/time.hpp"
 #include "baobab/decision/gossip_message.hpp"
+#include "baobab/decision/news_queue.hpp"
+#include "baobab/decision/peer_lists.hpp"
+#include "baobab/decision/region_contacts.hpp"
 
 #include <array>
 #include <cstdint>
-#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -68,15 +70,19 @@
   std::vector<GossipSend> Tick(TimePoint aNow);
 
   /// Handles a datagram; returns the datagrams to send.
-  std::vector<GossipSend> Handle(const Endpoint& aFrom,
-                                 const GossipMessage& aMessage,
+  std::vector<GossipSend> Handle(const GossipMessage& aMessage,
                                  TimePoint aNow);
 
   /// Takes over a record from a full exchange.
   void Merge(const MemberRecord& aRecord, TimePoint aNow);
 
-  /// Datagrams that tell a few random members about a new generation.
-  std::vector<GossipSend> PushGeneration(std::uint64_t aGeneration);
+  /// Datagrams that spread news and the generation at once: to a few members
+  /// of the own region, and from a few daemons of each region to every other
+  /// region.
+  std::vector<GossipSend> Push();
+
+  /// A peer for a full exchange; now and then one of another region.
+  std::optional<Endpoint> ExchangePeer();
 
   void SetGeneration(std::uint64_t aGeneration)
   {
@@ -95,8 +101,9 @@
   /// Bucket of an endpoint.
   static std::size_t BucketOf(const Endpoint& aEndpoint);
 
-  /// Every record that is not dead, this daemon's own included.
-  std::vector<MemberRecord> Living() const;
+  /// Every record that is not dead, this daemon's own included. Members of
+  /// silent regions are shown as unreachable.
+  std::vector<MemberRecord> Living(TimePoint aNow) const;
 
   /// Members that count as spending fleet budgets: everyone not known to be
   /// gone for longer than the settling time.
@@ -105,9 +112,6 @@
   /// True once this daemon may spend its share.
   bool Settled(TimePoint aNow) const;
 
-  /// A random member of the own region, of another one if there is none.
-  std::optional<Endpoint> RandomPeer();
-
   /// Rises with each change of the table.
   std::uint64_t Version() const { return this->version; }
 
@@ -138,28 +142,23 @@
     TimePoint sentAt;
   };
 
-  struct RegionContact
-  {
-    TimePoint heardAt;
-    /// When it was first heard after a silence.
-    TimePoint backAt;
-  };
-
+  /// A random member of the own region, of another one if there is none.
+  std::optional<Endpoint> RandomPeer();
   GossipMessage Message(GossipKind aKind, std::uint32_t aNonce);
   std::vector<MemberRecord> PickNews();
-  std::size_t NewsLimit() const;
+  const MemberRecord& RecordOf(const Endpoint& aEndpoint) const;
+  bool Crosses();
   void Store(Entry& aEntry, MemberRecord aRecord, TimePoint aNow);
-  void Spread(const Endpoint& aEndpoint);
   void Refute(const MemberRecord& aRecord);
   void Hear(const GossipMessage& aMessage, TimePoint aNow);
   void SetState(const Endpoint& aEndpoint, MemberState aState, TimePoint aNow);
   void CheckProbes(TimePoint aNow, std::vector<GossipSend>& aSends);
   void CheckSuspects(TimePoint aNow);
-  void CheckUnreachable(TimePoint aNow);
   void DropTombstones(TimePoint aNow);
   void StartProbe(TimePoint aNow, std::vector<GossipSend>& aSends);
   std::optional<Endpoint> NextSubject();
-  void Shuffle();
+  /// A random member of one of the regions; a seed if there is none.
+  std::optional<Endpoint> RandomOther(const std::vector<std::string>& aRegions);
 
   MemberRecord self;
   MembershipOptions options;
@@ -174,16 +173,13 @@
   std::vector<Endpoint> seeds;
   std::unordered_map<Endpoint, Entry> members;
   std::array<std::uint64_t, kBuckets> digests{};
-  /// Probing order of this round and the position in it.
-  std::vector<Endpoint> order;
-  std::size_t position = 0;
+  PeerLists peers;
   std::unordered_map<std::uint32_t, Probe> probes;
   std::unordered_map<std::uint32_t, Relay> relays;
   std::unordered_map<Endpoint, TimePoint> suspects;
-  std::unordered_map<std::string, RegionContact> regions;
-  /// News by how often it was sent, fewest first.
-  std::map<std::pair<std::uint32_t, Endpoint>, Endpoint> news;
-  std::unordered_map<Endpoint, std::uint32_t> newsSent;
+  RegionContacts contacts;
+  NewsQueue news;
+  TimePoint lastTick;
 };
 
 }
--- a/include/baobab/net/socket.hpp
+++ b/include/baobab/net/socket.hpp
@@ -22,9 +22,6 @@
 /// Converts to Asio's type.
 Udp::endpoint ToUdp(const Endpoint& aEndpoint);
 
-/// Converts from Asio's type.
-Endpoint FromUdp(const Udp::endpoint& aEndpoint);
-
 /// Opens a listening socket that may share its port with other workers.
 /// Fails with System.
 Result<Tcp::acceptor> Listen(boost::asio::io_context& aContext,
@@ -32,9 +29,13 @@
 
 /// Opens a connection without delayed sends.
 /// Fails with ConnectFailed or TimedOut.
-Result<Tcp::socket> Connect(boost::asio::io_context& aContext,
-                            const Endpoint& aEndpoint,
-                            Duration aTimeout);
+/// @param aLocalAddress address from which the connection comes; 0 leaves it
+///   to the system
+Result<Tcp::socket>
+Connect(boost::asio::io_context& aContext,
+        const Endpoint& aEndpoint,
+        Duration aTimeout,
+        std::uint32_t aLocalAddress = 0);
 
 /// True if the other end has closed the connection or sent what nobody asked
 /// for; such a connection must not carry another request.
--- a/include/baobab/node/gossip_agent.hpp
+++ b/include/baobab/node/gossip_agent.hpp
@@ -66,7 +66,7 @@
   std::function<void()> onNews;
 
 private:
-  void Handle(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes);
+  void Handle(std::span<const std::uint8_t> aBytes);
   void Exchange(const Endpoint& aPeer);
   void ReadSeeds();
   bool IsSeedWriter() const;
--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -25,6 +25,8 @@
 {
   std::uint64_t sender = 0;
   std::string region;
+  /// Address from which connections are opened.
+  std::uint32_t localAddress = 0;
 };
 
 /// Carries calls of one worker to one daemon over one connection at a time,
--- a/include/baobab/node/route_table.hpp
+++ b/include/baobab/node/route_table.hpp
@@ -53,6 +53,9 @@
   /// Finds a service by name.
   std::shared_ptr<const ServiceRoute> Find(std::string_view aService) const;
 
+  /// Targets of all services that may be chosen.
+  std::size_t TargetCount() const;
+
   std::vector<std::shared_ptr<const ServiceRoute>> routes;
   /// Requests under suspicion, sorted.
   std::vector<std::uint64_t> suspects;
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -4,9 +4,11 @@
 #
 #   BUILD  build folder
 #   WORK   folder for settings, records and logs
+#   NET    first three numbers of the loopback addresses, 127.1.0
 
 PIDS=()
-STORE=127.0.0.1:7000
+NET=${NET:-127.1.0}
+STORE=$NET.250:7000
 
 # Runs a program in the background and remembers it.
 launch() { # LOG PROGRAM ARGUMENT...
@@ -17,26 +19,28 @@
   LAUNCHED=$!
 }
 
+# Ends processes at once and waits for them.
+kill_now() { # PID...
+  kill -KILL "$@" 2>/dev/null || true
+  wait "$@" 2>/dev/null || true
+}
+
+# Asks every process to stop, and ends those that do not within 5 s.
 stop_all() {
-  local pid
-  for pid in "${PIDS[@]:-}"; do
-    [ -n "$pid" ] && kill -CONT "$pid" 2>/dev/null
-    [ -n "$pid" ] && kill -TERM "$pid" 2>/dev/null
-  done
-  for pid in "${PIDS[@]:-}"; do
-    [ -n "$pid" ] || continue
-    for _ in $(seq 100); do
-      kill -0 "$pid" 2>/dev/null || break
-      sleep 0.05
-    done
-    kill -KILL "$pid" 2>/dev/null
-    wait "$pid" 2>/dev/null
+  [ ${#PIDS[@]} -eq 0 ] && return 0
+  kill -CONT "${PIDS[@]}" 2>/dev/null || true
+  kill -TERM "${PIDS[@]}" 2>/dev/null || true
+  for _ in $(seq 100); do
+    kill -0 "${PIDS[@]}" 2>/dev/null || break
+    [ -z "$(jobs -rp)" ] && break
+    sleep 0.05
   done
+  kill_now "${PIDS[@]}"
   PIDS=()
 }
 
 start_store() { # [ADDRESS]
-  STORE=${1:-127.0.0.1:7000}
+  STORE=${1:-$NET.250:7000}
   launch "$WORK/store.log" "$BUILD/testing/store_standin" --listen "$STORE"
   STORE_PID=$LAUNCHED
   wait_http "$STORE" /stats
@@ -54,15 +58,16 @@
   done
 }
 
-# Writes the settings of host N: its addresses are on 127.1.0.N.
-write_settings() { # N REGION ZONE [PEERS_ADDRESS]
+# Writes the settings of host N: its addresses are on NET.N.
+write_settings() { # N REGION ZONE
   cat >"$WORK/host-$1.toml" <<SETTINGS
 workers = ${WORKERS:-1}
 
 [listen]
-callers = "127.1.0.$1:8080"
-peers = "${4:-127.1.0.$1:7100}"
-admin = "127.1.0.$1:7200"
+callers = "$NET.$1:8080"
+peers = "$NET.$1:7100"
+${ANNOUNCED:+announced = "$NET.$1:7101"}
+admin = "$NET.$1:7200"
 
 [store]
 address = "$STORE"
@@ -87,14 +92,45 @@
   local n=$1 service=$2
   shift 2
   launch "$WORK/target-$n.log" "$BUILD/testing/target_standin" \
-    --listen "127.1.0.$n:8000" --daemon "127.1.0.$n:7200" \
+    --listen "$NET.$n:8000" --daemon "$NET.$n:7200" \
     --service "$service" --seed "$n" --record "$WORK/record-$n" "$@"
   TARGET_PID[$n]=$LAUNCHED
 }
 
+# A fault proxy in front of the peers address of host N, which then is
+# announced as port 7101. Start it before the daemon, with ANNOUNCED=1 set
+# for write_settings.
+start_proxy() { # N
+  launch "$WORK/proxy-$1.log" "$BUILD/testing/fault_proxy" \
+    --listen "$NET.$1:7101" --to "$NET.$1:7100" --control "$NET.$1:7102"
+  wait_http "$NET.$1:7102" /stats
+}
+
+set_faults() { # N JSON
+  curl -fs -m 2 -o /dev/null -d "$2" "http://$NET.$1:7102/faults"
+}
+
+# Starts hosts with their daemons and targets.
+start_hosts() { # REGION ZONE SERVICE N...
+  local region=$1 zone=$2 service=$3 n
+  shift 3
+  for n in "$@"; do
+    write_settings "$n" "$region" "$zone"
+    start_daemon "$n"
+    start_target "$n" "$service" ${TARGET_FLAGS:-}
+  done
+}
+
+# Waits until the hosts know each other and hold a configuration.
+wait_fleet() { # N...
+  wait_metric generation 1 30 "$@"
+  wait_metric members $# 30 "$@"
+  wait_metric routable_targets $# 30 "$@"
+}
+
 # One value of a daemon's metrics.
 metric() { # N NAME
-  curl -s -m 2 "http://127.1.0.$1:7200/metrics" |
+  curl -s -m 2 "http://$NET.$1:7200/metrics" |
     awk -v name="baobab_$2" '$1 == name { print $2 }'
 }
 
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -48,7 +48,14 @@
     EndpointField(
       "listen.peers",
       [](S& s) -> auto& { return s.peers; },
-      "Address for other daemons, TCP and UDP; it is also announced."),
+      "Address for other daemons, TCP and UDP."),
+    Parsed<S>(
+      "listen.announced",
+      "endpoint",
+      [](S& s) -> auto& { return s.announced; },
+      ParseEndpoint,
+      "Address announced to other daemons, if it differs from "
+      "`listen.peers`."),
     EndpointField(
       "listen.admin",
       [](S& s) -> auto& { return s.admin; },
--- a/src/baobab/decision/membership.cpp
+++ b/src/baobab/decision/membership.cpp
@@ -11,11 +11,15 @@
 /// Members that are asked to probe on behalf of this one.
 constexpr std::size_t kIndirectProbes = 3;
 
-/// Members that hear of a new generation at once.
-constexpr std::size_t kGenerationFanout = 4;
+/// Members of the own region that hear news at once.
+constexpr std::size_t kPushFanout = 4;
 
-/// One in this many probes goes to another region.
-constexpr std::uint64_t kCrossRegionProbes = 8;
+/// One in this many probes, and full exchanges, goes to another region.
+constexpr std::uint64_t kCrossRegionPart = 8;
+
+/// Daemons of a region that pass something on to each other region. More of
+/// them would add to the bytes of the link with the size of the region.
+constexpr std::size_t kCrossings = 3;
 
 /// Transmissions of one piece of news, times the logarithm of the fleet.
 constexpr std::size_t kNewsFactor = 2;
@@ -62,6 +66,7 @@
   , startedAt(aNow)
   , nextProbe(aNow)
   , nextSweep(aNow + kSweepPeriod)
+  , peers(this->self.locality.region)
 {
   this->digests[BucketOf(this->self.endpoint)] ^= HashOf(this->self);
 }
@@ -83,7 +88,7 @@
   ++this->self.incarnation;
   digest ^= HashOf(this->self);
   ++this->version;
-  this->Spread(this->self.endpoint);
+  this->news.Add(this->self.endpoint);
 }
 
 void
@@ -111,19 +116,19 @@
 Membership::Leave()
 {
   this->self.state = MemberState::Dead;
-  this->Spread(this->self.endpoint);
-  return this->PushGeneration(this->generation);
+  this->news.Add(this->self.endpoint);
+  return this->Push();
 }
 
 std::vector<GossipSend>
 Membership::Tick(TimePoint aNow)
 {
+  this->lastTick = aNow;
   std::vector<GossipSend> sends;
   this->CheckProbes(aNow, sends);
   this->CheckSuspects(aNow);
   if (aNow >= this->nextSweep) {
     this->nextSweep = aNow + kSweepPeriod;
-    this->CheckUnreachable(aNow);
     this->DropTombstones(aNow);
   }
   if (aNow >= this->nextProbe) {
@@ -135,21 +140,21 @@
 }
 
 std::vector<GossipSend>
-Membership::Handle(const Endpoint& aFrom,
-                   const GossipMessage& aMessage,
-                   TimePoint aNow)
+Membership::Handle(const GossipMessage& aMessage, TimePoint aNow)
 {
   this->Hear(aMessage, aNow);
+  // The source of the datagram may be a translated address.
+  const Endpoint from = aMessage.sender.endpoint;
   std::vector<GossipSend> sends;
   switch (aMessage.kind) {
     case GossipKind::Ping:
       sends.push_back(
-        { aFrom, this->Message(GossipKind::Ack, aMessage.nonce) });
+        { from, this->Message(GossipKind::Ack, aMessage.nonce) });
       break;
     case GossipKind::PingRequest:
       if (aMessage.subject) {
         const std::uint32_t nonce = this->nextNonce++;
-        this->relays[nonce] = { aFrom, aMessage.nonce, aNow };
+        this->relays[nonce] = { from, aMessage.nonce, aNow };
         sends.push_back(
           { *aMessage.subject, this->Message(GossipKind::Ping, nonce) });
       }
@@ -191,28 +196,40 @@
   entry.record.endpoint = aRecord.endpoint;
   this->digests[BucketOf(aRecord.endpoint)] ^= HashOf(entry.record);
   this->Store(entry, aRecord, aNow);
-  const std::size_t place = Below(this->random, this->order.size() + 1);
-  this->order.push_back(aRecord.endpoint);
-  std::swap(this->order[place], this->order.back());
+  this->peers.Add(aRecord.endpoint, aRecord.locality.region, this->random);
 }
 
 std::vector<GossipSend>
-Membership::PushGeneration(std::uint64_t aGeneration)
+Membership::Push()
 {
-  this->generation = aGeneration;
   std::vector<GossipSend> sends;
-  for (std::size_t i = 0; i < kGenerationFanout; ++i) {
-    if (const auto peer = this->RandomPeer()) {
-      sends.push_back({ *peer, this->Message(GossipKind::News, 0) });
+  const auto push = [&](const std::optional<Endpoint>& aPeer) {
+    if (aPeer) {
+      sends.push_back({ *aPeer, this->Message(GossipKind::News, 0) });
     }
+  };
+  for (std::size_t i = 0; i < kPushFanout; ++i) {
+    push(this->RandomPeer());
   }
-  if (!this->order.empty()) {
-    const Endpoint any = this->order[Below(this->random, this->order.size())];
-    sends.push_back({ any, this->Message(GossipKind::News, 0) });
+  for (const std::string& region : this->peers.OtherRegions()) {
+    if (this->Crosses()) {
+      push(this->peers.RandomOf(region, this->random));
+    }
   }
   return sends;
 }
 
+std::optional<Endpoint>
+Membership::ExchangePeer()
+{
+  const auto others = this->peers.OtherRegions();
+  if (!others.empty() && Below(this->random, kCrossRegionPart) == 0 &&
+      this->Crosses()) {
+    return this->RandomOther(others);
+  }
+  return this->RandomPeer();
+}
+
 std::vector<MemberRecord>
 Membership::Bucket(std::size_t aBucket) const
 {
@@ -235,12 +252,24 @@
 }
 
 std::vector<MemberRecord>
-Membership::Living() const
+Membership::Living(TimePoint aNow) const
 {
   std::vector<MemberRecord> living{ this->self };
+  living.reserve(this->Size());
+  std::unordered_map<std::string_view, bool> silent;
   for (const auto& [endpoint, entry] : this->members) {
-    if (entry.record.state != MemberState::Dead) {
-      living.push_back(entry.record);
+    if (entry.record.state == MemberState::Dead) {
+      continue;
+    }
+    living.push_back(entry.record);
+    const std::string& region = entry.record.locality.region;
+    const auto [found, added] = silent.try_emplace(region, false);
+    if (added) {
+      found->second = region != this->self.locality.region &&
+                      this->contacts.IsSilent(region, aNow);
+    }
+    if (found->second) {
+      living.back().state = MemberState::Unreachable;
     }
   }
   return living;
@@ -267,23 +296,20 @@
 Membership::RandomPeer()
 {
   constexpr int kTries = 8;
-  std::optional<Endpoint> fallback;
-  for (int tries = 0; tries < kTries && !this->order.empty(); ++tries) {
-    const Endpoint peer = this->order[Below(this->random, this->order.size())];
-    const MemberRecord& record = this->members.at(peer).record;
-    if (record.state == MemberState::Dead ||
-        record.state == MemberState::Unreachable) {
-      continue;
-    }
-    if (record.locality.region == this->self.locality.region) {
+  for (int tries = 0; tries < kTries; ++tries) {
+    const auto peer =
+      this->peers.RandomOf(this->self.locality.region, this->random);
+    if (peer && this->members.at(*peer).record.state != MemberState::Dead) {
       return peer;
     }
-    fallback = peer;
-  }
-  if (!fallback && this->order.empty() && !this->seeds.empty()) {
-    return this->seeds[Below(this->random, this->seeds.size())];
   }
-  return fallback;
+  return this->RandomOther(this->peers.OtherRegions());
+}
+
+bool
+Membership::Crosses()
+{
+  return Below(this->random, this->peers.OwnCount() + 1) < kCrossings;
 }
 
 GossipMessage
@@ -295,6 +321,7 @@
   message.generation = this->generation;
   message.digest = this->Digest();
   message.sender = this->self;
+  message.contacts = this->contacts.Ages(this->lastTick);
   message.news = this->PickNews();
   return message;
 }
@@ -302,38 +329,28 @@
 std::vector<MemberRecord>
 Membership::PickNews()
 {
-  std::vector<MemberRecord> picked;
-  std::size_t bytes = 0;
-  const std::size_t limit = this->NewsLimit();
-  std::vector<std::pair<std::uint32_t, Endpoint>> sent;
-  for (const auto& [key, endpoint] : this->news) {
-    const bool own = endpoint == this->self.endpoint;
-    const MemberRecord& record =
-      own ? this->self : this->members.at(endpoint).record;
-    bytes += EncodedSize(record);
-    if (bytes > this->options.newsBytes) {
-      break;
-    }
-    picked.push_back(record);
-    sent.push_back(key);
-  }
-  for (const auto& key : sent) {
-    this->news.erase(key);
-    const std::uint32_t count = key.first + 1;
-    if (count >= limit) {
-      this->newsSent.erase(key.second);
-      continue;
-    }
-    this->newsSent[key.second] = count;
-    this->news.emplace(std::pair{ count, key.second }, key.second);
-  }
-  return picked;
+  const auto limit = static_cast<std::uint32_t>(
+    kNewsFactor * std::bit_width(this->Size()) + 1);
+  const auto endpoints = this->news.Take(
+    [&](const Endpoint& aEndpoint) {
+      return EncodedSize(this->RecordOf(aEndpoint));
+    },
+    this->options.newsBytes,
+    limit);
+  std::vector<MemberRecord> records;
+  std::ranges::transform(
+    endpoints, std::back_inserter(records), [&](const Endpoint& aEndpoint) {
+      return this->RecordOf(aEndpoint);
+    });
+  return records;
 }
 
-std::size_t
-Membership::NewsLimit() const
+const MemberRecord&
+Membership::RecordOf(const Endpoint& aEndpoint) const
 {
-  return kNewsFactor * std::bit_width(this->Size()) + 1;
+  return aEndpoint == this->self.endpoint
+           ? this->self
+           : this->members.at(aEndpoint).record;
 }
 
 void
@@ -351,18 +368,7 @@
   } else {
     this->suspects.erase(endpoint);
   }
-  this->Spread(endpoint);
-}
-
-void
-Membership::Spread(const Endpoint& aEndpoint)
-{
-  if (const auto sent = this->newsSent.find(aEndpoint);
-      sent != this->newsSent.end()) {
-    this->news.erase({ sent->second, aEndpoint });
-  }
-  this->newsSent[aEndpoint] = 0;
-  this->news.emplace(std::pair{ 0U, aEndpoint }, aEndpoint);
+  this->news.Add(endpoint);
 }
 
 void
@@ -380,17 +386,16 @@
   this->self.incarnation = aRecord.incarnation + 1;
   digest ^= HashOf(this->self);
   ++this->version;
-  this->Spread(this->self.endpoint);
+  this->news.Add(this->self.endpoint);
 }
 
 void
 Membership::Hear(const GossipMessage& aMessage, TimePoint aNow)
 {
-  RegionContact& region = this->regions[aMessage.sender.locality.region];
-  if (aNow - region.heardAt > this->options.suspicion) {
-    region.backAt = aNow;
+  this->contacts.Hear(aMessage.sender.locality.region, aNow);
+  for (const RegionAge& contact : aMessage.contacts) {
+    this->contacts.Merge(contact, aNow);
   }
-  region.heardAt = aNow;
   this->Merge(aMessage.sender, aNow);
   for (const MemberRecord& record : aMessage.news) {
     this->Merge(record, aNow);
@@ -399,7 +404,7 @@
   const auto found = this->members.find(aMessage.sender.endpoint);
   if (found != this->members.end() &&
       found->second.record.state != MemberState::Alive) {
-    this->Spread(aMessage.sender.endpoint);
+    this->news.Add(aMessage.sender.endpoint);
   }
 }
 
@@ -459,35 +464,15 @@
       return aNow - aItem.second >= this->options.suspicion;
     });
   for (const auto& [endpoint, since] : matured) {
+    // Members of a parted region stay suspect; once it is heard again, they
+    // have the whole time to refute.
     const std::string& region =
       this->members.at(endpoint).record.locality.region;
-    const auto contact = this->regions.find(region);
-    const bool silent =
-      region != this->self.locality.region &&
-      (contact == this->regions.end() || contact->second.heardAt < since);
-    this->SetState(
-      endpoint, silent ? MemberState::Unreachable : MemberState::Dead, aNow);
-  }
-}
-
-void
-Membership::CheckUnreachable(TimePoint aNow)
-{
-  // Members of a region that is heard again have the time of a tombstone to
-  // refute what was said about them.
-  std::vector<Endpoint> gone;
-  for (const auto& [endpoint, entry] : this->members) {
-    const auto region = this->regions.find(entry.record.locality.region);
-    if (entry.record.state == MemberState::Unreachable &&
-        region != this->regions.end() &&
-        region->second.backAt > entry.changedAt &&
-        aNow - region->second.backAt > this->options.tombstone) {
-      gone.push_back(endpoint);
+    if (region == this->self.locality.region ||
+        this->contacts.WasHeardSince(region, since, aNow)) {
+      this->SetState(endpoint, MemberState::Dead, aNow);
     }
   }
-  for (const Endpoint& endpoint : gone) {
-    this->SetState(endpoint, MemberState::Dead, aNow);
-  }
 }
 
 void
@@ -503,18 +488,13 @@
   for (const Endpoint& endpoint : gone) {
     const MemberRecord& record = this->members.at(endpoint).record;
     this->digests[BucketOf(endpoint)] ^= HashOf(record);
-    if (const auto sent = this->newsSent.find(endpoint);
-        sent != this->newsSent.end()) {
-      this->news.erase({ sent->second, endpoint });
-      this->newsSent.erase(sent);
-    }
+    this->news.Remove(endpoint);
     this->members.erase(endpoint);
   }
   if (!gone.empty()) {
-    std::erase_if(this->order, [&](const Endpoint& aEndpoint) {
-      return !this->members.contains(aEndpoint);
+    this->peers.Keep([&](const Endpoint& aEndpoint) {
+      return this->members.contains(aEndpoint);
     });
-    this->position = std::min(this->position, this->order.size());
   }
 }
 
@@ -535,29 +515,32 @@
 std::optional<Endpoint>
 Membership::NextSubject()
 {
-  const bool abroad = Below(this->random, kCrossRegionProbes) == 0;
-  for (std::size_t step = 0; step < this->order.size(); ++step) {
-    if (this->position >= this->order.size()) {
-      this->Shuffle();
-    }
-    const Endpoint subject = this->order[this->position++];
-    const MemberRecord& record = this->members.at(subject).record;
-    const bool foreign = record.locality.region != this->self.locality.region;
-    if (record.state != MemberState::Dead && (!foreign || abroad)) {
+  const auto others = this->peers.OtherRegions();
+  const bool abroad = !others.empty() && this->Crosses() &&
+                      Below(this->random, kCrossRegionPart) < others.size();
+  if (abroad || this->peers.OwnCount() == 0) {
+    return this->RandomOther(others);
+  }
+  for (std::size_t step = 0; step < this->peers.OwnCount(); ++step) {
+    const auto subject = this->peers.NextOwn(this->random);
+    if (this->members.at(*subject).record.state != MemberState::Dead) {
       return subject;
     }
   }
+  return this->RandomOther(others);
+}
+
+std::optional<Endpoint>
+Membership::RandomOther(const std::vector<std::string>& aRegions)
+{
+  if (!aRegions.empty()) {
+    return this->peers.RandomOf(
+      aRegions[Below(this->random, aRegions.size())], this->random);
+  }
   if (!this->seeds.empty()) {
     return this->seeds[Below(this->random, this->seeds.size())];
   }
   return std::nullopt;
 }
 
-void
-Membership::Shuffle()
-{
-  std::ranges::shuffle(this->order, this->random);
-  this->position = 0;
-}
-
 }
--- a/src/baobab/decision/membership_test.cpp
+++ b/src/baobab/decision/membership_test.cpp
@@ -126,7 +126,7 @@
         }
         for (int copy = 0; copy < this->copies; ++copy) {
           for (GossipSend& answer :
-               receiver->second->Handle(from, send.message, this->now)) {
+               receiver->second->Handle(send.message, this->now)) {
             answers.emplace_back(send.to, std::move(answer));
           }
         }
@@ -228,8 +228,9 @@
     return (aFrom <= At(3)) == (aTo <= At(3));
   };
   fleet.Run(1h);
-  for (std::uint32_t host = 4; host <= 6; ++host) {
-    BOOST_TEST((fleet.Seen(1, host) == MemberState::Unreachable));
+  for (const MemberRecord& member : fleet.DaemonAt(1).Living(fleet.now)) {
+    const bool away = member.locality.region != "perth";
+    BOOST_TEST((member.state == MemberState::Unreachable) == away);
   }
   BOOST_TEST(fleet.DaemonAt(1).Size() == 6U);
   BOOST_TEST(fleet.DaemonAt(1).SpenderCount(fleet.now) == 6);
--- a/src/baobab/net/socket.cpp
+++ b/src/baobab/net/socket.cpp
@@ -2,6 +2,7 @@
 
 #include "baobab/net/timeout.hpp"
 
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 namespace baobab {
@@ -11,6 +12,11 @@
 using ReusePort =
   asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+/// Leaves the choice of the local port to the connect, so that ports are
+/// shared between destinations.
+using BindAddressNoPort =
+  asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
+
 constexpr int kBacklog = 4096;
 
 }
@@ -27,12 +33,6 @@
   return { asio::ip::address_v4(aEndpoint.address), aEndpoint.port };
 }
 
-Endpoint
-FromUdp(const Udp::endpoint& aEndpoint)
-{
-  return { aEndpoint.address().to_v4().to_uint(), aEndpoint.port() };
-}
-
 Result<Tcp::acceptor>
 Listen(asio::io_context& aContext, const Endpoint& aEndpoint)
 {
@@ -57,9 +57,16 @@
 Result<Tcp::socket>
 Connect(asio::io_context& aContext,
         const Endpoint& aEndpoint,
-        Duration aTimeout)
+        Duration aTimeout,
+        std::uint32_t aLocalAddress)
 {
   Tcp::socket socket(aContext);
+  if (aLocalAddress != 0) {
+    boost::system::error_code ignored;
+    socket.open(Tcp::v4(), ignored);
+    socket.set_option(BindAddressNoPort(true), ignored);
+    socket.bind(ToTcp({ aLocalAddress, 0 }), ignored);
+  }
   const Timeout timeout(socket, aTimeout);
   const IoResult result = Await(
     [&](auto aHandler) { socket.async_connect(ToTcp(aEndpoint), aHandler); });
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -113,7 +113,7 @@
 {
   const Locality& locality = this->settings.locality;
   std::vector<Endpoint> zone;
-  for (const MemberRecord& member : this->membership.Living()) {
+  for (const MemberRecord& member : this->membership.Living(Now())) {
     if (member.locality == locality) {
       zone.push_back(member.endpoint);
     }
@@ -221,7 +221,10 @@
 Result<ConfigDelta>
 ConfigAgent::Request(const Endpoint& aPeer)
 {
-  auto socket = Connect(this->context, aPeer, this->settings.timeouts.connect);
+  auto socket = Connect(this->context,
+                        aPeer,
+                        this->settings.timeouts.connect,
+                        this->settings.peers.address);
   if (!Succeeded(socket)) {
     return Failure(socket);
   }
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -64,7 +64,7 @@
 SelfRecord(const Settings& aSettings)
 {
   MemberRecord self;
-  self.endpoint = aSettings.peers;
+  self.endpoint = aSettings.Identity();
   self.incarnation = FirstIncarnation();
   self.locality = aSettings.locality;
   return self;
@@ -180,7 +180,8 @@
   void StartControl()
   {
     this->config.onAdopted = [this](std::uint64_t aGeneration) {
-      this->gossip.Send(this->membership.PushGeneration(aGeneration));
+      this->membership.SetGeneration(aGeneration);
+      this->gossip.Send(this->membership.Push());
     };
     this->gossip.onGeneration = [this](const Endpoint& aPeer,
                                        std::uint64_t aGeneration) {
@@ -190,7 +191,7 @@
     this->calls.onSuspects = [this] {
       this->publisher.MarkChanged();
       this->gossip.Send(
-        this->membership.PushGeneration(this->config.Generation()));
+        this->membership.Push());
     };
     this->limits.headerBytes =
       static_cast<std::size_t>(this->settings.headerBytes);
@@ -232,7 +233,9 @@
     aWorker.ingress = std::make_unique<Ingress>(
       aWorker.worker.Context(),
       this->routes,
-      LinkIdentity{ EntropySeed(), this->settings.locality.region },
+      LinkIdentity{ EntropySeed(),
+                    this->settings.locality.region,
+                    this->settings.peers.address },
       this->settings);
     aWorker.handler = aWorker.ingress->Handler();
     ServeHttp(*aWorker.acceptor, this->limits, aWorker.handler, aWorker.gate);
@@ -268,7 +271,7 @@
                                 this->calls.Gate().Report().slots);
     if (this->membership.Version() != before) {
       this->gossip.Send(
-        this->membership.PushGeneration(this->config.Generation()));
+        this->membership.Push());
     }
   }
 
@@ -348,6 +351,7 @@
     add("suspects", this->quarantine.Size());
     add("process_cpu_seconds_total", ProcessorSeconds());
     this->routes.Read([&](const RouteTable& aTable) {
+      add("routable_targets", aTable.TargetCount());
       for (const auto& route : aTable.routes) {
         AddBudgetMetrics(aPage, *route);
       }
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -92,13 +92,13 @@
       this->socket.async_receive_from(asio::buffer(buffer), from, aHandler);
     });
     if (received) {
-      this->Handle(FromUdp(from), { buffer.data(), received.bytes });
+      this->Handle({ buffer.data(), received.bytes });
     }
   }
 }
 
 void
-GossipAgent::Handle(const Endpoint& aFrom, std::span<const std::uint8_t> aBytes)
+GossipAgent::Handle(std::span<const std::uint8_t> aBytes)
 {
   ++this->counts.received;
   this->counts.receivedBytes += aBytes.size();
@@ -108,7 +108,7 @@
     return;
   }
   const GossipMessage& gossip = Value(message);
-  this->Send(this->membership.Handle(aFrom, gossip, Now()));
+  this->Send(this->membership.Handle(gossip, Now()));
   for (const Suspicion& suspicion : gossip.suspicions) {
     this->quarantine.Merge(suspicion, Now());
   }
@@ -160,7 +160,7 @@
       continue;
     }
     last = Now();
-    if (const auto peer = this->membership.RandomPeer()) {
+    if (const auto peer = this->membership.ExchangePeer()) {
       this->Exchange(*peer);
     }
   }
@@ -169,7 +169,10 @@
 void
 GossipAgent::Exchange(const Endpoint& aPeer)
 {
-  auto opened = Connect(this->context, aPeer, this->settings.timeouts.connect);
+  auto opened = Connect(this->context,
+                        aPeer,
+                        this->settings.timeouts.connect,
+                        this->settings.peers.address);
   if (!Succeeded(opened)) {
     return;
   }
@@ -262,7 +265,7 @@
 GossipAgent::IsSeedWriter() const
 {
   std::vector<Endpoint> zone;
-  for (const MemberRecord& member : this->membership.Living()) {
+  for (const MemberRecord& member : this->membership.Living(Now())) {
     if (member.locality == this->settings.locality) {
       zone.push_back(member.endpoint);
     }
@@ -288,7 +291,7 @@
   }
   std::string text = ToString(this->membership.Self().endpoint) + "\n";
   std::size_t kept = 1;
-  for (const MemberRecord& member : this->membership.Living()) {
+  for (const MemberRecord& member : this->membership.Living(Now())) {
     if (member.locality == locality && kept < kSeedsKept &&
         member.endpoint != this->membership.Self().endpoint) {
       text += ToString(member.endpoint) + "\n";
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -109,7 +109,10 @@
 PeerLink::Connect()
 {
   auto socket =
-    baobab::Connect(this->context, this->endpoint, this->timeouts.connect);
+    baobab::Connect(this->context,
+                                this->endpoint,
+                                this->timeouts.connect,
+                                this->identity.localAddress);
   if (!Succeeded(socket)) {
     Log(kChannel,
         LogLevel::Debug,
--- a/src/baobab/node/route_publisher.cpp
+++ b/src/baobab/node/route_publisher.cpp
@@ -34,7 +34,7 @@
   this->changed = false;
   this->publishedVersion = this->membership.Version();
   auto table = this->builder.Build(*this->configuration,
-                                   this->membership.Living(),
+                                   this->membership.Living(aNow),
                                    this->quarantine.Suspects(aNow));
   this->DivideBudgets(*table, aNow);
   this->routes.Replace(std::move(table));
--- a/src/baobab/node/route_table.cpp
+++ b/src/baobab/node/route_table.cpp
@@ -69,6 +69,18 @@
                                                                    : nullptr;
 }
 
+std::size_t
+RouteTable::TargetCount() const
+{
+  std::size_t count = 0;
+  for (const auto& route : this->routes) {
+    for (const auto& tier : route->tiers) {
+      count += tier.size();
+    }
+  }
+  return count;
+}
+
 std::unique_ptr<RouteTable>
 RouteBuilder::Build(const Configuration& aConfiguration,
                     const std::vector<MemberRecord>& aMembers,
--- a/src/baobab/wire/codec_test.cpp
+++ b/src/baobab/wire/codec_test.cpp
@@ -45,6 +45,7 @@
   message.subject = Endpoint{ 0x7f000002, 7100 };
   message.news = { message.sender, message.sender };
   message.suspicions = { { 1, 2, 0.5, true, 3s } };
+  message.contacts = { { "perth", 20ms } };
   return message;
 }
 
@@ -93,6 +94,7 @@
   BOOST_TEST((got.sender == sent.sender));
   BOOST_TEST((got.news == sent.news));
   BOOST_TEST((got.subject == sent.subject));
+  BOOST_TEST((got.contacts == sent.contacts));
   BOOST_REQUIRE(got.suspicions.size() == 1U);
   BOOST_TEST(got.suspicions[0].cleared);
   BOOST_TEST((got.suspicions[0].remaining == 3s));
--- a/src/baobab/wire/gossip_codec.cpp
+++ b/src/baobab/wire/gossip_codec.cpp
@@ -34,6 +34,12 @@
       static_cast<std::uint32_t>(suspicion.remaining / 1ms),
       suspicion.cleared);
   }
+  std::vector<flatbuffers::Offset<wire::fb::RegionAge>> contacts;
+  for (const RegionAge& contact : aMessage.contacts) {
+    const auto region = builder.CreateSharedString(contact.region);
+    contacts.push_back(wire::fb::CreateRegionAge(
+      builder, region, static_cast<std::uint32_t>(contact.age.count())));
+  }
   const Endpoint subject = aMessage.subject.value_or(Endpoint{});
   const auto root =
     wire::fb::CreateGossip(builder,
@@ -46,7 +52,8 @@
                            subject.address,
                            subject.port,
                            builder.CreateVector(news),
-                           builder.CreateVectorOfStructs(suspicions));
+                           builder.CreateVectorOfStructs(suspicions),
+    builder.CreateVector(contacts));
   builder.Finish(root, wire::fb::GossipIdentifier());
   return { reinterpret_cast<const char*>(builder.GetBufferPointer()),
            builder.GetSize() };
@@ -99,6 +106,12 @@
                                      Millis(suspect->remaining_ms()) });
     }
   }
+  if (gossip.contacts() != nullptr) {
+    for (const wire::fb::RegionAge* contact : *gossip.contacts()) {
+      message.contacts.push_back(
+        { contact->region()->str(), Millis(contact->age_ms()) });
+    }
+  }
   return message;
 }
 
