--- /dev/null
+++ b/cmake/baobab_integration.cmake
@@ -0,0 +1,11 @@
+# Integration tests with real processes; each has addresses of its own.
+file(GLOB integration_tests CONFIGURE_DEPENDS
+     ${CMAKE_SOURCE_DIR}/testing/integration/*_test.sh)
+if(NOT BAOBAB_SANITIZE)
+  foreach(path ${integration_tests})
+    get_filename_component(name ${path} NAME_WE)
+    add_test(NAME integration_${name} COMMAND ${path})
+    set_tests_properties(integration_${name} PROPERTIES
+      ENVIRONMENT BUILD=${CMAKE_BINARY_DIR} TIMEOUT 300)
+  endforeach()
+endif()
--- a/cmake/baobab_models.cmake
+++ b/cmake/baobab_models.cmake
@@ -4,3 +4,7 @@
   -- -DEARLY_RETRY -- -DNO_INCARNATION -DNO_MEMORY -DNO_FORGET)
 add_test(NAME model_fate_without_memory COMMAND ${CMAKE_SOURCE_DIR}/spec/check
   fate "-DNO_MEMORY -DNO_FORGET")
+add_test(NAME model_config COMMAND ${CMAKE_SOURCE_DIR}/spec/check config
+  -- -DNO_CONDITION -- -DNO_HIGHER -- -DNO_READ_BACK)
+add_test(NAME model_config_same_service COMMAND ${CMAKE_SOURCE_DIR}/spec/check
+  config -DSAME_SERVICE -- -DSAME_SERVICE -DNO_REVISION)
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -60,13 +60,15 @@
 
 # Writes the settings of host N: its addresses are on NET.N.
 write_settings() { # N REGION ZONE
+  local announced=
+  [ -n "${ANNOUNCED:-}" ] && announced="announced = \"$NET.$1:7101\""
   cat >"$WORK/host-$1.toml" <<SETTINGS
 workers = ${WORKERS:-1}
 
 [listen]
 callers = "$NET.$1:8080"
 peers = "$NET.$1:7100"
-${ANNOUNCED:+announced = "$NET.$1:7101"}
+$announced
 admin = "$NET.$1:7200"
 
 [store]
--- a/src/baobab/net/frame_connection.cpp
+++ b/src/baobab/net/frame_connection.cpp
@@ -18,6 +18,17 @@
 /// Unsent bytes at which a connection counts as lost.
 constexpr std::size_t kLargestBacklog = 128U << 20U;
 
+/// True if silence after this message means that the connection is lost.
+bool
+ExpectsAnswer(const PeerMessage& aMessage)
+{
+  const auto* heartbeat = std::get_if<HeartbeatMessage>(&aMessage);
+  return std::holds_alternative<HelloMessage>(aMessage) ||
+         std::holds_alternative<CallMessage>(aMessage) ||
+         std::holds_alternative<AskMessage>(aMessage) ||
+         (heartbeat != nullptr && !heartbeat->reply);
+}
+
 }
 
 FrameConnection::FrameConnection(Tcp::socket aSocket)
@@ -35,7 +46,7 @@
   if (!this->IsOpen()) {
     return;
   }
-  if (this->unansweredSince == TimePoint{}) {
+  if (ExpectsAnswer(aMessage) && this->unansweredSince == TimePoint{}) {
     this->unansweredSince = std::chrono::steady_clock::now();
   }
   AppendFrame(aMessage, this->outgoing);
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -6,7 +6,10 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
+#include <boost/fiber/operations.hpp>
 #include <cctype>
+#include <unordered_set>
+#include <utility>
 
 namespace baobab {
 namespace {
@@ -43,9 +46,6 @@
   if (aError == http::error::header_limit) {
     return HttpFault::HeaderTooLarge;
   }
-  if (aError == beast::error::timeout) {
-    return HttpFault::TooSlow;
-  }
   return HttpFault::Malformed;
 }
 
@@ -80,11 +80,27 @@
     while (this->WaitForRequest() && this->ServeOne()) {
     }
     beast::error_code error;
-    this->stream.socket().shutdown(Tcp::socket::shutdown_both, error);
-    this->stream.close();
+    this->stream.shutdown(Tcp::socket::shutdown_both, error);
+    this->stream.close(error);
+  }
+
+  /// Ends the current operation if its time is over.
+  void CheckLimit(TimePoint aNow)
+  {
+    if (aNow >= this->limit) {
+      this->limit = TimePoint::max();
+      this->expired = true;
+      this->stream.cancel();
+    }
   }
 
 private:
+  void LimitTo(Duration aTime)
+  {
+    this->limit = std::chrono::steady_clock::now() + aTime;
+    this->expired = false;
+  }
+
   bool WaitForRequest()
   {
     if (this->gate.Closing()) {
@@ -93,7 +109,7 @@
     if (this->buffer.size() > 0) {
       return true;
     }
-    this->stream.expires_after(this->limits.idleTime);
+    this->LimitTo(this->limits.idleTime);
     const IoResult result = Await([&](auto aHandler) {
       this->stream.async_read_some(this->buffer.prepare(kReadBytes), aHandler);
     });
@@ -106,7 +122,7 @@
     Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
     parser.body_limit(boost::none);
-    this->stream.expires_after(this->limits.headerTime);
+    this->LimitTo(this->limits.headerTime);
     IoResult result = Await([&](auto aHandler) {
       http::async_read_header(this->stream, this->buffer, parser, aHandler);
     });
@@ -116,7 +132,7 @@
     if (!this->PrepareBody(parser)) {
       return false;
     }
-    this->stream.expires_after(this->limits.bodyTime);
+    this->LimitTo(this->limits.bodyTime);
     if (!parser.is_done()) {
       result = Await([&](auto aHandler) {
         http::async_read(this->stream, this->buffer, parser, aHandler);
@@ -125,7 +141,7 @@
         return this->Refuse(result.error);
       }
     }
-    this->stream.expires_never();
+    this->limit = TimePoint::max();
     return this->Answer(parser.release());
   }
 
@@ -189,7 +205,7 @@
     } else if (aMethod == "HEAD") {
       message.content_length(aResponse.body.size());
     }
-    this->stream.expires_after(this->limits.bodyTime);
+    this->LimitTo(this->limits.bodyTime);
     http::response_serializer<http::string_body> serializer(message);
     const IoResult result = Await([&](auto aHandler) {
       http::async_write(this->stream, serializer, aHandler);
@@ -199,11 +215,13 @@
 
   bool Refuse(const beast::error_code& aError)
   {
-    if (IsGone(aError)) {
+    const bool slow = std::exchange(this->expired, false);
+    if (!slow && IsGone(aError)) {
       return false;
     }
     constexpr unsigned kHttp11 = 11;
-    this->Write(this->handler.refuse(FaultOf(aError)), "GET", kHttp11, false);
+    const HttpFault fault = slow ? HttpFault::TooSlow : FaultOf(aError);
+    this->Write(this->handler.refuse(fault), "GET", kHttp11, false);
     this->Linger();
     return false;
   }
@@ -213,8 +231,8 @@
   void Linger()
   {
     beast::error_code error;
-    this->stream.socket().shutdown(Tcp::socket::shutdown_send, error);
-    this->stream.expires_after(kLingerTime);
+    this->stream.shutdown(Tcp::socket::shutdown_send, error);
+    this->LimitTo(kLingerTime);
     std::size_t discarded = 0;
     while (discarded < kLingerBytes) {
       this->buffer.clear();
@@ -229,13 +247,34 @@
     }
   }
 
-  beast::tcp_stream stream;
+  Tcp::socket stream;
   beast::flat_buffer buffer;
   const HttpLimits& limits;
   const HttpHandler& handler;
   HttpGate& gate;
+  TimePoint limit = TimePoint::max();
+  bool expired = false;
 };
 
+/// Connections of one server, for the checks of their time limits.
+using Connections = std::unordered_set<Connection*>;
+
+/// Checks the time limits of all connections until the server ends. One
+/// timer for all is cheaper than one for each request.
+void
+RunLimitChecks(std::shared_ptr<const Connections> aConnections,
+               const Tcp::acceptor& aAcceptor)
+{
+  constexpr Duration kPeriod = 50ms;
+  while (aAcceptor.is_open() || !aConnections->empty()) {
+    boost::this_fiber::sleep_for(kPeriod);
+    const TimePoint now = std::chrono::steady_clock::now();
+    std::ranges::for_each(*aConnections, [&](Connection* aConnection) {
+      aConnection->CheckLimit(now);
+    });
+  }
+}
+
 /// Pause after a failed accept, for example with no descriptor left.
 constexpr Duration kAcceptPause = 20ms;
 
@@ -247,6 +286,8 @@
           const HttpHandler& aHandler,
           HttpGate& aGate)
 {
+  const auto connections = std::make_shared<Connections>();
+  Spawn([connections, &aAcceptor] { RunLimitChecks(connections, aAcceptor); });
   while (aAcceptor.is_open()) {
     Tcp::socket socket(aAcceptor.get_executor());
     const IoResult accepted =
@@ -267,8 +308,10 @@
     auto connection =
       std::make_unique<Connection>(std::move(socket), aLimits, aHandler, aGate);
     ++aGate.open;
-    Spawn([connection = std::move(connection), &aGate] {
+    connections->insert(connection.get());
+    Spawn([connection = std::move(connection), connections, &aGate] {
       connection->Run();
+      connections->erase(connection.get());
       --aGate.open;
     });
   }
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -47,7 +47,9 @@
   Pending pending{ CallAttempt(id, aIdempotent, aDeadline), aRequest };
   this->pending.emplace(id.sequence, &pending);
   this->lastUsed = Now();
-  if (this->ready) {
+  if (aDeadline <= this->lastUsed) {
+    pending.attempt.OnDeadline();
+  } else if (this->ready) {
     this->Perform(pending,
                   pending.attempt.OnWelcome(this->incarnation, this->number));
   } else if (!this->maintained) {
