Calls that reached no target are retried without budget; typed causes of unknown outcomes

Cause: with every link silent at once, calls that were fenced on the new connection were given up once the retry budget was spent, and five lost calls on one link opened the target's breaker. Neither adds load to a target. Ruled out: the reconnect (it took one silence time) and the fence. Change: only a refusal for load needs budget; a lost link does not count against the target; with every target held back one is tried anyway; a crash is also seen when the target listens again at once.

--- a/include/baobab/core/outcome.hpp
+++ b/include/baobab/core/outcome.hpp
@@ -46,10 +46,24 @@
   bool retried = false;
 };
 
+/// Why the outcome of a call is unknown.
+enum class UnknownCause : std::uint8_t
+{
+  LinkLost,
+  DaemonRestarted,
+  TargetFailed,
+  DeadlinePassed,
+  AnswerTooLarge,
+};
+
+/// Returns a sentence for callers and logs.
+std::string_view
+Describe(UnknownCause aCause);
+
 /// The call may or may not have run.
 struct OutcomeUnknown
 {
-  std::string detail;
+  UnknownCause cause = UnknownCause::LinkLost;
 };
 
 using Outcome = std::variant<Answered, NotRun, OutcomeUnknown>;
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -94,7 +94,7 @@
   void Conclude(const CallMessage& aCall, TargetResult aResult);
   bool AnotherSuspectRuns() const;
   void NoteBroken(Fingerprint aFingerprint);
-  void CheckForCrash();
+  void CheckForCrash(const std::vector<CallId>& aTogether);
   std::optional<LoadReport> ChargedReport(const CallId& aId);
   SenderConnection* ConnectionOf(const CallId& aId);
 
--- a/src/baobab/core/outcome.cpp
+++ b/src/baobab/core/outcome.cpp
@@ -32,4 +32,22 @@
   return "overloaded";
 }
 
+std::string_view
+Describe(UnknownCause aCause)
+{
+  switch (aCause) {
+    case UnknownCause::LinkLost:
+      return "the connection to the target was lost during the call";
+    case UnknownCause::DaemonRestarted:
+      return "the target's daemon restarted during the call";
+    case UnknownCause::TargetFailed:
+      return "the target failed during the call";
+    case UnknownCause::DeadlinePassed:
+      return "the deadline passed during the call";
+    case UnknownCause::AnswerTooLarge:
+      return "the answer is larger than the service's limit";
+  }
+  return "";
+}
+
 }
--- a/src/baobab/decision/call_attempt.cpp
+++ b/src/baobab/decision/call_attempt.cpp
@@ -22,7 +22,7 @@
   }
   if (this->sentTo != aIncarnation) {
     return this->End(
-      OutcomeUnknown{ "the target's daemon restarted during the call" });
+      OutcomeUnknown{ UnknownCause::DaemonRestarted });
   }
   return AttemptAction::SendAsk;
 }
@@ -45,7 +45,7 @@
   }
   if (this->idempotent) {
     return this->End(
-      OutcomeUnknown{ "the connection was lost during the call" });
+      OutcomeUnknown{ UnknownCause::LinkLost });
   }
   return AttemptAction::Reconnect;
 }
@@ -74,7 +74,7 @@
 {
   return this->outcome
            ? AttemptAction::Wait
-           : this->End(OutcomeUnknown{ "the target failed during the call" });
+           : this->End(OutcomeUnknown{ UnknownCause::TargetFailed });
 }
 
 AttemptAction
@@ -87,7 +87,7 @@
     return this->End(
       NotRun{ RefusalReason::Expired, "the deadline passed before sending" });
   }
-  return this->End(OutcomeUnknown{ "the deadline passed during the call" });
+  return this->End(OutcomeUnknown{ UnknownCause::DeadlinePassed });
 }
 
 AttemptAction
--- a/src/baobab/decision/call_plan.cpp
+++ b/src/baobab/decision/call_plan.cpp
@@ -10,8 +10,9 @@
 {
   /// Another target would refuse as well.
   Final,
-  /// The chosen target is out of service; its refusal is not a sign of load.
-  WrongTarget,
+  /// The call did not reach a target in service, so that another attempt
+  /// adds no load to any.
+  NoLoad,
   /// Another attempt adds load and needs budget.
   Load,
 };
@@ -23,10 +24,10 @@
     case RefusalReason::Leaving:
     case RefusalReason::NotReady:
     case RefusalReason::WrongService:
-      return RefusalClass::WrongTarget;
-    case RefusalReason::Overloaded:
     case RefusalReason::Fenced:
     case RefusalReason::Unreachable:
+      return RefusalClass::NoLoad;
+    case RefusalReason::Overloaded:
       return RefusalClass::Load;
     case RefusalReason::Expired:
     case RefusalReason::Quarantined:
@@ -73,7 +74,7 @@
                           return false;
                         }
                         switch (Classify(aRefusal.reason)) {
-                          case RefusalClass::WrongTarget:
+                          case RefusalClass::NoLoad:
                             return true;
                           case RefusalClass::Load:
                             return aBudget.Spend();
--- a/src/baobab/decision/call_plan_test.cpp
+++ b/src/baobab/decision/call_plan_test.cpp
@@ -67,6 +67,20 @@
                                kNow) == PlanStep::Finish));
 }
 
+/// Found by the links test: calls lost with a silent link were given up when
+/// the retry budget was spent, although none of them had reached a target.
+BOOST_AUTO_TEST_CASE(a_call_that_reached_no_target_needs_no_budget)
+{
+  RetryBudget empty(0, 0);
+  CallPlan fenced(false, 3, kNow + 1s);
+  BOOST_TEST((fenced.OnOutcome(Refusal(RefusalReason::Fenced), empty, kNow) ==
+              PlanStep::Retry));
+  CallPlan loaded(false, 3, kNow + 1s);
+  BOOST_TEST((loaded.OnOutcome(
+                Refusal(RefusalReason::Overloaded), empty, kNow) ==
+              PlanStep::Finish));
+}
+
 BOOST_AUTO_TEST_CASE(a_refusal_that_was_retried_below_is_passed_on)
 {
   RetryBudget budget(0.1, 10);
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -319,7 +319,7 @@
                  Log(kChannel,
                      LogLevel::Info,
                      "call lost at the target",
-                     { { "call", ToString(id) }, { "why", aUnknown.detail } });
+                     { { "call", ToString(id) }, { "why", std::string(Describe(aUnknown.cause)) } });
                  this->ledger.Lose(id);
                  if (connection != nullptr) {
                    connection->frames->Send(LostMessage{ id });
@@ -341,17 +341,29 @@
 {
   this->broken.push_back(aFingerprint);
   if (this->broken.size() == 1) {
-    Spawn([this] { this->CheckForCrash(); });
+    std::vector<CallId> together;
+    std::ranges::transform(this->running,
+                           std::back_inserter(together),
+                           [](const auto& aItem) { return aItem.first; });
+    Spawn([this, together = std::move(together)] {
+      this->CheckForCrash(together);
+    });
   }
 }
 
 void
-CallServer::CheckForCrash()
+CallServer::CheckForCrash(const std::vector<CallId>& aTogether)
 {
   boost::this_fiber::sleep_for(kCrashWindow);
   const std::vector<Fingerprint> suspects = std::move(this->broken);
   this->broken.clear();
-  if (this->target.IsListening()) {
+  // A target that was restarted at once listens already; it has crashed if
+  // none of the calls that ran together goes on.
+  const bool goesOn =
+    std::ranges::any_of(aTogether, [this](const CallId& aId) {
+      return this->running.contains(aId);
+    });
+  if (goesOn && this->target.IsListening()) {
     return;
   }
   const auto route = this->lookup(this->admission.Service());
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/fiber/operations.hpp>
+#include <ranges>
 #include <sstream>
 
 namespace baobab {
@@ -288,13 +289,12 @@
     this->GreetAll(Value(object)->value);
     condition.version = Value(object)->version;
   }
-  std::string text = ToString(this->membership.Self().endpoint) + "\n";
-  std::size_t kept = 1;
-  for (const Endpoint& member : this->membership.ZoneMembers()) {
-    if (kept < kSeedsKept && member != this->membership.Self().endpoint) {
-      text += ToString(member) + "\n";
-      ++kept;
-    }
+  // Sorted, so that all writers of a zone write the same.
+  auto zone = this->membership.ZoneMembers();
+  std::ranges::sort(zone);
+  std::string text;
+  for (const Endpoint& member : zone | std::views::take(kSeedsKept)) {
+    text += ToString(member) + "\n";
   }
   if (!Value(object) || Value(object)->value != text) {
     this->store.Put(key, text, condition);
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -331,7 +331,13 @@
                      break;
                  }
                },
-               [&](const OutcomeUnknown&) { aTarget.breaker.Failed(Now()); },
+               [&](const OutcomeUnknown& aUnknown) {
+        // A lost link is no sign of a failing target; whether it can be
+        // reached again shows when the link reconnects.
+        if (aUnknown.cause != UnknownCause::LinkLost) {
+          aTarget.breaker.Failed(Now());
+        }
+      },
              },
              aResult.outcome);
 }
@@ -364,7 +370,7 @@
         Log(kChannel,
             LogLevel::Info,
             "outcome of a call unknown",
-            { { "service", spec.name }, { "detail", aUnknown.detail } });
+            { { "service", spec.name }, { "detail", std::string(Describe(aUnknown.cause)) } });
         return UnknownResponse(aUnknown);
       },
     },
@@ -394,7 +400,7 @@
 {
   Response response = TextResponse(
     kGatewayTimeout,
-    "Outcome unknown: " + aUnknown.detail +
+    "Outcome unknown: " + std::string(Describe(aUnknown.cause)) +
       ". The request may have been carried out. Check before sending it "
       "again.\n");
   response.headers.push_back({ std::string(kOutcomeHeader), "unknown" });
--- a/src/baobab/node/target_chooser.cpp
+++ b/src/baobab/node/target_chooser.cpp
@@ -47,6 +47,14 @@
                   : fallback;
   }
 
+  /// Chooses as if no target were held back. With all of them held back, an
+  /// attempt costs less than a refusal.
+  ChosenTarget ChooseAnyway(std::int64_t aBytes)
+  {
+    this->ignoreBreakers = true;
+    return this->Choose(aBytes);
+  }
+
 private:
   std::shared_ptr<TargetRef> ChooseAbroad(bool aOnlyChance, std::int64_t aBytes)
   {
@@ -68,7 +76,8 @@
       return this->ViewOf(*targets[aIndex]);
     };
     const auto chosen = this->Apply(targets.size(), view);
-    if (!chosen || !targets[*chosen]->breaker.TryPass(this->now)) {
+    if (!chosen || !(this->ignoreBreakers ||
+                     targets[*chosen]->breaker.TryPass(this->now))) {
       return nullptr;
     }
     return targets[*chosen];
@@ -95,7 +104,7 @@
   {
     const double utilisation = aTarget.load.Utilisation(this->prior, this->now);
     const bool usable =
-      !aTarget.breaker.IsOpen(this->now) &&
+      (this->ignoreBreakers || !aTarget.breaker.IsOpen(this->now)) &&
       std::ranges::find(this->tried, aTarget.endpoint) == this->tried.end();
     return { utilisation,
              aTarget.load.Latency(utilisation, this->prior, this->now),
@@ -118,6 +127,7 @@
   SplitMix& random;
   TimePoint now;
   PeerPrior prior;
+  bool ignoreBreakers = false;
 };
 
 }
@@ -129,7 +139,9 @@
              SplitMix& aRandom,
              TimePoint aNow)
 {
-  return Chooser(aRoute, aTried, aRandom, aNow).Choose(aBytes);
+  Chooser chooser(aRoute, aTried, aRandom, aNow);
+  const ChosenTarget chosen = chooser.Choose(aBytes);
+  return chosen.target ? chosen : chooser.ChooseAnyway(aBytes);
 }
 
 ChosenTarget
--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -10,6 +10,19 @@
 
 constexpr unsigned kServiceUnavailable = 503;
 
+UnknownCause
+CauseOf(ErrorKind aKind)
+{
+  switch (aKind) {
+    case ErrorKind::TimedOut:
+      return UnknownCause::DeadlinePassed;
+    case ErrorKind::TooLarge:
+      return UnknownCause::AnswerTooLarge;
+    default:
+      return UnknownCause::TargetFailed;
+  }
+}
+
 /// True if the target says that it did not run this very call. The call's id
 /// proves that the answer was not passed on from a call further down.
 bool
@@ -35,10 +48,8 @@
 {
   if (aCall.idempotent) {
     if (auto pooled = this->TakePooled()) {
-      HttpClient* client = pooled.get();
       TargetResult result =
         this->Exchange(aCall, std::move(pooled), aConnection);
-      static_cast<void>(client);
       if (!result.broken) {
         return result;
       }
@@ -91,7 +102,7 @@
   aConnection = nullptr;
   if (!Succeeded(response)) {
     const Error& error = Failure(response);
-    return { OutcomeUnknown{ "target: " + error.message },
+    return { OutcomeUnknown{ CauseOf(error.kind) },
              error.kind == ErrorKind::ConnectionLost &&
                !aClient->AnswerBegan() };
   }
--- a/testing/target_standin.cpp
+++ b/testing/target_standin.cpp
@@ -125,7 +125,7 @@
   Response Serve(const Request& aRequest)
   {
     const auto call = FindHeader(aRequest.headers, "X-Call-Id");
-    this->record.Ran(call);
+    this->record.Ran(call.empty() ? "-" : call);
     if (aRequest.body.starts_with(kPoison)) {
       std::_Exit(1);
     }
