--- a/include/baobab/core/outcome.hpp
+++ b/include/baobab/core/outcome.hpp
@@ -57,8 +57,7 @@
 };
 
 /// Returns a sentence for callers and logs.
-std::string_view
-Describe(UnknownCause aCause);
+std::string_view Describe(UnknownCause aCause);
 
 /// The call may or may not have run.
 struct OutcomeUnknown
--- a/include/baobab/decision/membership.hpp
+++ b/include/baobab/decision/membership.hpp
@@ -70,8 +70,7 @@
   std::vector<GossipSend> Tick(TimePoint aNow);
 
   /// Handles a datagram; returns the datagrams to send.
-  std::vector<GossipSend> Handle(const GossipMessage& aMessage,
-                                 TimePoint aNow);
+  std::vector<GossipSend> Handle(const GossipMessage& aMessage, TimePoint aNow);
 
   /// Takes over a record from a full exchange.
   void Merge(const MemberRecord& aRecord, TimePoint aNow);
--- a/include/baobab/net/log.hpp
+++ b/include/baobab/net/log.hpp
@@ -38,6 +38,6 @@
 void Log(std::string_view aChannel,
          LogLevel aLevel,
          std::string_view aMessage,
-         std::vector<LogField> aFields = {});
+         const std::vector<LogField>& aFields = {});
 
 }
--- a/include/baobab/net/socket.hpp
+++ b/include/baobab/net/socket.hpp
@@ -31,11 +31,10 @@
 /// Fails with ConnectFailed or TimedOut.
 /// @param aLocalAddress address from which the connection comes; 0 leaves it
 ///   to the system
-Result<Tcp::socket>
-Connect(boost::asio::io_context& aContext,
-        const Endpoint& aEndpoint,
-        Duration aTimeout,
-        std::uint32_t aLocalAddress = 0);
+Result<Tcp::socket> Connect(boost::asio::io_context& aContext,
+                            const Endpoint& aEndpoint,
+                            Duration aTimeout,
+                            std::uint32_t aLocalAddress = 0);
 
 /// True if the other end has closed the connection or sent what nobody asked
 /// for; such a connection must not carry another request.
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -87,7 +87,7 @@
   };
 
   void Decide(CallMessage aCall, TimePoint aDeadline);
-  void Settle(std::vector<Dequeued> aDequeued);
+  void Settle(const std::vector<Dequeued>& aDequeued);
   void Refuse(const CallId& aId, NotRun aRefusal);
   void Start(CallMessage aCall, TimePoint aDeadline);
   void RunCall(const CallMessage& aCall, TimePoint aDeadline);
--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -63,7 +63,7 @@
   bool ShakeHands();
   void ReadUntilLost();
   void Dispatch(PeerMessage& aMessage);
-  void Beat(std::shared_ptr<FrameConnection> aConnection);
+  void Beat(const std::shared_ptr<FrameConnection>& aConnection);
   Pending* Find(const CallId& aId);
 
   template<class F>
--- a/include/baobab/node/peer_server.hpp
+++ b/include/baobab/node/peer_server.hpp
@@ -34,7 +34,7 @@
   void Serve(Tcp::acceptor& aAcceptor);
 
 private:
-  void ServeConnection(std::shared_ptr<FrameConnection> aFrames);
+  void ServeConnection(const std::shared_ptr<FrameConnection>& aFrames);
   bool Handle(SenderConnection& aConnection, PeerMessage aMessage);
   bool Greet(SenderConnection& aConnection, const HelloMessage& aHello);
 
--- a/src/baobab/decision/admission_test.cpp
+++ b/src/baobab/decision/admission_test.cpp
@@ -44,8 +44,8 @@
   Admission admission = ReadyAdmission(2);
   BOOST_TEST(Started(admission.Offer(Id(1), kNow + 1s, kNow)));
   BOOST_TEST(Started(admission.Offer(Id(2), kNow + 1s, kNow)));
-  BOOST_TEST(std::holds_alternative<Queued>(
-    admission.Offer(Id(3), kNow + 1s, kNow)));
+  BOOST_TEST(
+    std::holds_alternative<Queued>(admission.Offer(Id(3), kNow + 1s, kNow)));
   const auto next = admission.Finish(5ms, kNow + 5ms);
   BOOST_REQUIRE(next.size() == 1U);
   BOOST_TEST((next[0].id == Id(3)));
@@ -67,8 +67,8 @@
 BOOST_AUTO_TEST_CASE(refuses_what_cannot_be_answered_in_time)
 {
   Admission admission = ReadyAdmission(1);
-  BOOST_TEST(RefusedFor(admission.Offer(Id(1), kNow, kNow),
-                        RefusalReason::Expired));
+  BOOST_TEST(
+    RefusedFor(admission.Offer(Id(1), kNow, kNow), RefusalReason::Expired));
   admission.Offer(Id(2), kNow + 1s, kNow);
   admission.Finish(50ms, kNow);
   admission.Offer(Id(3), kNow + 1s, kNow);
--- a/src/baobab/decision/call_attempt.cpp
+++ b/src/baobab/decision/call_attempt.cpp
@@ -21,8 +21,7 @@
     return AttemptAction::SendCall;
   }
   if (this->sentTo != aIncarnation) {
-    return this->End(
-      OutcomeUnknown{ UnknownCause::DaemonRestarted });
+    return this->End(OutcomeUnknown{ UnknownCause::DaemonRestarted });
   }
   return AttemptAction::SendAsk;
 }
@@ -44,8 +43,7 @@
       NotRun{ RefusalReason::Unreachable, "no connection to the target" });
   }
   if (this->idempotent) {
-    return this->End(
-      OutcomeUnknown{ UnknownCause::LinkLost });
+    return this->End(OutcomeUnknown{ UnknownCause::LinkLost });
   }
   return AttemptAction::Reconnect;
 }
--- a/src/baobab/decision/call_plan_test.cpp
+++ b/src/baobab/decision/call_plan_test.cpp
@@ -1,6 +1,6 @@
-#include "baobab/decision/call_plan.hpp"
 #include "baobab/decision/breaker.hpp"
 #include "baobab/decision/byte_budget.hpp"
+#include "baobab/decision/call_plan.hpp"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -27,11 +27,11 @@
 {
   RetryBudget budget(0.1, 10);
   CallPlan once(false, 3, kNow + 1s);
-  BOOST_TEST((once.OnOutcome(OutcomeUnknown{}, budget, kNow) ==
-              PlanStep::Finish));
+  BOOST_TEST(
+    (once.OnOutcome(OutcomeUnknown{}, budget, kNow) == PlanStep::Finish));
   CallPlan again(true, 3, kNow + 1s);
-  BOOST_TEST((again.OnOutcome(OutcomeUnknown{}, budget, kNow) ==
-              PlanStep::Retry));
+  BOOST_TEST(
+    (again.OnOutcome(OutcomeUnknown{}, budget, kNow) == PlanStep::Retry));
 }
 
 BOOST_AUTO_TEST_CASE(an_unknown_attempt_outweighs_a_later_refusal)
@@ -51,20 +51,20 @@
 {
   RetryBudget budget(0.1, 10);
   CallPlan attempts(true, 2, kNow + 1s);
-  BOOST_TEST((attempts.OnOutcome(Refusal(RefusalReason::Overloaded),
-                                 budget,
-                                 kNow) == PlanStep::Retry));
-  BOOST_TEST((attempts.OnOutcome(Refusal(RefusalReason::Overloaded),
-                                 budget,
-                                 kNow) == PlanStep::Finish));
+  BOOST_TEST(
+    (attempts.OnOutcome(Refusal(RefusalReason::Overloaded), budget, kNow) ==
+     PlanStep::Retry));
+  BOOST_TEST(
+    (attempts.OnOutcome(Refusal(RefusalReason::Overloaded), budget, kNow) ==
+     PlanStep::Finish));
   CallPlan late(true, 3, kNow + 1s);
-  BOOST_TEST((late.OnOutcome(Refusal(RefusalReason::Overloaded),
-                             budget,
-                             kNow + 1s) == PlanStep::Finish));
+  BOOST_TEST(
+    (late.OnOutcome(Refusal(RefusalReason::Overloaded), budget, kNow + 1s) ==
+     PlanStep::Finish));
   CallPlan killer(true, 3, kNow + 1s);
-  BOOST_TEST((killer.OnOutcome(Refusal(RefusalReason::Quarantined),
-                               budget,
-                               kNow) == PlanStep::Finish));
+  BOOST_TEST(
+    (killer.OnOutcome(Refusal(RefusalReason::Quarantined), budget, kNow) ==
+     PlanStep::Finish));
 }
 
 /// Found by the links test: calls lost with a silent link were given up when
@@ -76,9 +76,9 @@
   BOOST_TEST((fenced.OnOutcome(Refusal(RefusalReason::Fenced), empty, kNow) ==
               PlanStep::Retry));
   CallPlan loaded(false, 3, kNow + 1s);
-  BOOST_TEST((loaded.OnOutcome(
-                Refusal(RefusalReason::Overloaded), empty, kNow) ==
-              PlanStep::Finish));
+  BOOST_TEST(
+    (loaded.OnOutcome(Refusal(RefusalReason::Overloaded), empty, kNow) ==
+     PlanStep::Finish));
 }
 
 BOOST_AUTO_TEST_CASE(a_refusal_that_was_retried_below_is_passed_on)
@@ -120,7 +120,8 @@
   }
   // A refusal without a retry below, because that budget is empty, may be
   // retried one layer up; each layer has its own small bucket.
-  const std::uint64_t bound = kCalls + kCalls / 10 * kLayers + 10 * kLayers;
+  const std::uint64_t bound =
+    kCalls + kCalls / 10 * kLayers + std::uint64_t{ 10 } * kLayers;
   BOOST_TEST(backEndAttempts <= bound);
   BOOST_TEST_MESSAGE("attempts at the back end: " << backEndAttempts);
 }
@@ -154,14 +155,15 @@
     }
   }
   for (const auto& [start, ignored] : sent) {
-    const std::int64_t bytes = std::accumulate(
-      sent.begin(),
-      sent.end(),
-      std::int64_t{ 0 },
-      [&](std::int64_t aSum, const auto& aItem) {
-        const bool inside = aItem.first >= start && aItem.first < start + 1s;
-        return inside ? aSum + aItem.second : aSum;
-      });
+    const std::int64_t bytes =
+      std::accumulate(sent.begin(),
+                      sent.end(),
+                      std::int64_t{ 0 },
+                      [&](std::int64_t aSum, const auto& aItem) {
+                        const bool inside =
+                          aItem.first >= start && aItem.first < start + 1s;
+                        return inside ? aSum + aItem.second : aSum;
+                      });
     BOOST_REQUIRE_LE(bytes, kRate);
   }
   BOOST_TEST(budget.Spent() > 5 * kRate / 2);
@@ -181,9 +183,8 @@
   for (std::int64_t daemons = 1; daemons <= 64; ++daemons) {
     for (std::int64_t newcomers = 0; newcomers <= 64; ++newcomers) {
       // Settled daemons know at least each other; newcomers have no share.
-      const std::int64_t spent =
-        daemons * ShareOf(kFleetRate, daemons, true) +
-        newcomers * ShareOf(kFleetRate, 1, false);
+      const std::int64_t spent = daemons * ShareOf(kFleetRate, daemons, true) +
+                                 newcomers * ShareOf(kFleetRate, 1, false);
       BOOST_REQUIRE_LE(spent, kFleetRate);
     }
   }
--- a/src/baobab/decision/fate_test.cpp
+++ b/src/baobab/decision/fate_test.cpp
@@ -115,9 +115,9 @@
     entry.attempt = std::make_unique<CallAttempt>(
       CallId{ kSender, sequence }, false, deadline);
     if (this->welcomed) {
-      this->Perform(entry,
-                    entry.attempt->OnWelcome(this->welcomedBy,
-                                             this->links.back()->number));
+      this->Perform(
+        entry,
+        entry.attempt->OnWelcome(this->welcomedBy, this->links.back()->number));
     }
   }
 
@@ -193,12 +193,12 @@
   {
     const Fate fate =
       this->ledger->Ask(aId, static_cast<ConnectionNumber>(aSentOn));
-    const Kind kind = std::visit(
-      Overloaded{ [](const FateNotRun&) { return Kind::Refusal; },
-                  [](const FateRunning&) { return Kind::Running; },
-                  [](const FateDone&) { return Kind::Answer; },
-                  [](const FateUnknown&) { return Kind::Lost; } },
-      fate);
+    const Kind kind =
+      std::visit(Overloaded{ [](const FateNotRun&) { return Kind::Refusal; },
+                             [](const FateRunning&) { return Kind::Running; },
+                             [](const FateDone&) { return Kind::Answer; },
+                             [](const FateUnknown&) { return Kind::Lost; } },
+                 fate);
     aLink.toSender.push_back({ kind, aId.sequence });
   }
 
@@ -455,8 +455,7 @@
   }
   BOOST_TEST(ledger.RecordCount() == 2U);
   BOOST_TEST(std::holds_alternative<FateUnknown>(ledger.Ask(kId, 1)));
-  BOOST_TEST(
-    std::holds_alternative<FateDone>(ledger.Ask({ kSender, 3 }, 1)));
+  BOOST_TEST(std::holds_alternative<FateDone>(ledger.Ask({ kSender, 3 }, 1)));
 }
 
 BOOST_AUTO_TEST_CASE(an_attempt_is_sent_once_and_then_asked_for)
--- a/src/baobab/decision/membership.cpp
+++ b/src/baobab/decision/membership.cpp
@@ -148,8 +148,7 @@
   std::vector<GossipSend> sends;
   switch (aMessage.kind) {
     case GossipKind::Ping:
-      sends.push_back(
-        { from, this->Message(GossipKind::Ack, aMessage.nonce) });
+      sends.push_back({ from, this->Message(GossipKind::Ack, aMessage.nonce) });
       break;
     case GossipKind::PingRequest:
       if (aMessage.subject) {
@@ -366,8 +365,8 @@
 std::vector<MemberRecord>
 Membership::PickNews()
 {
-  const auto limit = static_cast<std::uint32_t>(
-    kNewsFactor * std::bit_width(this->Size()) + 1);
+  const auto limit =
+    static_cast<std::uint32_t>(kNewsFactor * std::bit_width(this->Size()) + 1);
   const auto endpoints = this->news.Take(
     [&](const Endpoint& aEndpoint) {
       return EncodedSize(*this->Find(aEndpoint));
@@ -570,8 +569,8 @@
 Membership::RandomOther(const std::vector<std::string>& aRegions)
 {
   if (!aRegions.empty()) {
-    return this->peers.RandomOf(
-      aRegions[Below(this->random, aRegions.size())], this->random);
+    return this->peers.RandomOf(aRegions[Below(this->random, aRegions.size())],
+                                this->random);
   }
   if (!this->seeds.empty()) {
     return this->seeds[Below(this->random, this->seeds.size())];
--- a/src/baobab/decision/membership_test.cpp
+++ b/src/baobab/decision/membership_test.cpp
@@ -39,11 +39,11 @@
            const std::string& aRegion = "r",
            std::uint64_t aIncarnation = 1)
   {
-    auto daemon = std::make_unique<Membership>(
-      Record(aHost, aIncarnation, aRegion),
-      MembershipOptions{},
-      aHost * 7919 + aIncarnation,
-      this->now);
+    auto daemon =
+      std::make_unique<Membership>(Record(aHost, aIncarnation, aRegion),
+                                   MembershipOptions{},
+                                   std::uint64_t{ aHost } * 7919 + aIncarnation,
+                                   this->now);
     daemon->AddSeed(At(1));
     this->daemons[At(aHost)] = std::move(daemon);
   }
@@ -80,7 +80,10 @@
     }
   }
 
-  Membership& DaemonAt(std::uint32_t aHost) { return *this->daemons.at(At(aHost)); }
+  Membership& DaemonAt(std::uint32_t aHost)
+  {
+    return *this->daemons.at(At(aHost));
+  }
 
   /// State of a host as another one sees it; nothing if it has no record.
   std::optional<MemberState> Seen(std::uint32_t aBy, std::uint32_t aHost)
@@ -89,8 +92,7 @@
       this->DaemonAt(aBy).Bucket(Membership::BucketOf(At(aHost)));
     const auto found =
       std::ranges::find(bucket, At(aHost), &MemberRecord::endpoint);
-    return found == bucket.end() ? std::nullopt
-                                 : std::optional(found->state);
+    return found == bucket.end() ? std::nullopt : std::optional(found->state);
   }
 
   bool AllAgree()
@@ -165,8 +167,7 @@
   fleet.Run(10s);
   BOOST_TEST(fleet.AllAgree());
   const auto bucket = fleet.DaemonAt(9).Bucket(Membership::BucketOf(At(3)));
-  const auto found =
-    std::ranges::find(bucket, At(3), &MemberRecord::endpoint);
+  const auto found = std::ranges::find(bucket, At(3), &MemberRecord::endpoint);
   BOOST_REQUIRE(found != bucket.end());
   BOOST_TEST((found->targetState == TargetState::Leaving));
 }
--- a/src/baobab/decision/quarantine_test.cpp
+++ b/src/baobab/decision/quarantine_test.cpp
@@ -43,8 +43,7 @@
   quarantine.Crashed(1, Crowd(1000), 600s, kNow);
   quarantine.Completed(1005, kNow);
   BOOST_TEST((quarantine.Judge(1005, kThreshold, kNow) == Verdict::Allow));
-  BOOST_TEST((quarantine.Judge(kKiller, kThreshold, kNow) ==
-              Verdict::Isolate));
+  BOOST_TEST((quarantine.Judge(kKiller, kThreshold, kNow) == Verdict::Isolate));
 }
 
 BOOST_AUTO_TEST_CASE(suspicion_and_clearance_spread_and_lapse)
--- a/src/baobab/decision/region_contacts.cpp
+++ b/src/baobab/decision/region_contacts.cpp
@@ -25,8 +25,7 @@
   for (const auto& [region, contact] : this->contacts) {
     if (aNow - contact.heardAt < kSilence) {
       ages.push_back(
-        { region,
-          std::chrono::duration_cast<Millis>(aNow - contact.heardAt) });
+        { region, std::chrono::duration_cast<Millis>(aNow - contact.heardAt) });
     }
   }
   return ages;
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -262,7 +262,7 @@
 /// Checks the time limits of all connections until the server ends. One
 /// timer for all is cheaper than one for each request.
 void
-RunLimitChecks(std::shared_ptr<const Connections> aConnections,
+RunLimitChecks(const std::shared_ptr<const Connections>& aConnections,
                const Tcp::acceptor& aAcceptor)
 {
   constexpr Duration kPeriod = 50ms;
--- a/src/baobab/net/log.cpp
+++ b/src/baobab/net/log.cpp
@@ -134,7 +134,7 @@
 Log(std::string_view aChannel,
     LogLevel aLevel,
     std::string_view aMessage,
-    std::vector<LogField> aFields)
+    const std::vector<LogField>& aFields)
 {
   if (!LogEnabled(aChannel, aLevel)) {
     return;
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -223,7 +223,7 @@
 }
 
 void
-CallServer::Settle(std::vector<Dequeued> aDequeued)
+CallServer::Settle(const std::vector<Dequeued>& aDequeued)
 {
   for (const Dequeued& dequeued : aDequeued) {
     const auto found = this->waiting.find(dequeued.id);
@@ -319,7 +319,8 @@
                  Log(kChannel,
                      LogLevel::Info,
                      "call lost at the target",
-                     { { "call", ToString(id) }, { "why", std::string(Describe(aUnknown.cause)) } });
+                     { { "call", ToString(id) },
+                       { "why", std::string(Describe(aUnknown.cause)) } });
                  this->ledger.Lose(id);
                  if (connection != nullptr) {
                    connection->frames->Send(LostMessage{ id });
@@ -359,10 +360,9 @@
   this->broken.clear();
   // A target that was restarted at once listens already; it has crashed if
   // none of the calls that ran together goes on.
-  const bool goesOn =
-    std::ranges::any_of(aTogether, [this](const CallId& aId) {
-      return this->running.contains(aId);
-    });
+  const bool goesOn = std::ranges::any_of(aTogether, [this](const CallId& aId) {
+    return this->running.contains(aId);
+  });
   if (goesOn && this->target.IsListening()) {
     return;
   }
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -190,8 +190,7 @@
     this->gossip.onNews = [this] { this->publisher.MarkChanged(); };
     this->calls.onSuspects = [this] {
       this->publisher.MarkChanged();
-      this->gossip.Send(
-        this->membership.Push());
+      this->gossip.Send(this->membership.Push());
     };
     this->limits.headerBytes =
       static_cast<std::size_t>(this->settings.headerBytes);
@@ -230,13 +229,13 @@
   void Serve(IngressWorker& aWorker)
   {
     static thread_local const RcuThread reader;
-    aWorker.ingress = std::make_unique<Ingress>(
-      aWorker.worker.Context(),
-      this->routes,
-      LinkIdentity{ EntropySeed(),
-                    this->settings.locality.region,
-                    this->settings.peers.address },
-      this->settings);
+    aWorker.ingress =
+      std::make_unique<Ingress>(aWorker.worker.Context(),
+                                this->routes,
+                                LinkIdentity{ EntropySeed(),
+                                              this->settings.locality.region,
+                                              this->settings.peers.address },
+                                this->settings);
     aWorker.handler = aWorker.ingress->Handler();
     ServeHttp(*aWorker.acceptor, this->limits, aWorker.handler, aWorker.gate);
   }
@@ -270,8 +269,7 @@
                                 this->calls.State(),
                                 this->calls.Gate().Report().slots);
     if (this->membership.Version() != before) {
-      this->gossip.Send(
-        this->membership.Push());
+      this->gossip.Send(this->membership.Push());
     }
   }
 
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -269,8 +269,8 @@
 bool
 GossipAgent::IsSeedWriter() const
 {
-  const auto writers = RendezvousPick(
-    this->membership.ZoneMembers(), kSeedRole, kSeedWriters);
+  const auto writers =
+    RendezvousPick(this->membership.ZoneMembers(), kSeedRole, kSeedWriters);
   return std::ranges::find(writers, this->membership.Self().endpoint) !=
          writers.end();
 }
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -332,12 +332,12 @@
                  }
                },
                [&](const OutcomeUnknown& aUnknown) {
-        // A lost link is no sign of a failing target; whether it can be
-        // reached again shows when the link reconnects.
-        if (aUnknown.cause != UnknownCause::LinkLost) {
-          aTarget.breaker.Failed(Now());
-        }
-      },
+                 // A lost link is no sign of a failing target; whether it can
+                 // be reached again shows when the link reconnects.
+                 if (aUnknown.cause != UnknownCause::LinkLost) {
+                   aTarget.breaker.Failed(Now());
+                 }
+               },
              },
              aResult.outcome);
 }
@@ -370,7 +370,8 @@
         Log(kChannel,
             LogLevel::Info,
             "outcome of a call unknown",
-            { { "service", spec.name }, { "detail", std::string(Describe(aUnknown.cause)) } });
+            { { "service", spec.name },
+              { "detail", std::string(Describe(aUnknown.cause)) } });
         return UnknownResponse(aUnknown);
       },
     },
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -110,8 +110,7 @@
 bool
 PeerLink::Connect()
 {
-  auto socket =
-    baobab::Connect(this->context,
+  auto socket = baobab::Connect(this->context,
                                 this->endpoint,
                                 this->timeouts.connect,
                                 this->identity.localAddress);
@@ -201,7 +200,7 @@
 }
 
 void
-PeerLink::Beat(std::shared_ptr<FrameConnection> aConnection)
+PeerLink::Beat(const std::shared_ptr<FrameConnection>& aConnection)
 {
   unsigned beats = 0;
   while (aConnection->IsOpen()) {
--- a/src/baobab/node/peer_server.cpp
+++ b/src/baobab/node/peer_server.cpp
@@ -34,7 +34,7 @@
 }
 
 void
-PeerServer::ServeConnection(std::shared_ptr<FrameConnection> aFrames)
+PeerServer::ServeConnection(const std::shared_ptr<FrameConnection>& aFrames)
 {
   SenderConnection connection;
   connection.frames = aFrames;
--- a/src/baobab/node/route_publisher.cpp
+++ b/src/baobab/node/route_publisher.cpp
@@ -42,8 +42,8 @@
       this->builder.Update(*member);
     }
   }
-  auto table = this->builder.Build(*this->configuration,
-                                   this->quarantine.Suspects(aNow));
+  auto table =
+    this->builder.Build(*this->configuration, this->quarantine.Suspects(aNow));
   this->DivideBudgets(*table, aNow);
   this->routes.Replace(std::move(table));
 }
--- a/src/baobab/node/route_table.cpp
+++ b/src/baobab/node/route_table.cpp
@@ -97,8 +97,7 @@
   const auto [found, added] = service.targets.try_emplace(aMember.endpoint);
   Target& target = found->second;
   if (added) {
-    target.ref =
-      std::make_shared<TargetRef>(aMember.endpoint, aMember.slots);
+    target.ref = std::make_shared<TargetRef>(aMember.endpoint, aMember.slots);
     this->serviceOf[aMember.endpoint] = aMember.service;
   }
   if (added || target.locality != aMember.locality) {
@@ -161,8 +160,7 @@
 RouteBuilder::RouteOf(const std::shared_ptr<const ConfiguredService>& aService)
 {
   Service& service = this->services[aService->spec.name];
-  if (!service.changed && service.route &&
-      service.route->service == aService) {
+  if (!service.changed && service.route && service.route->service == aService) {
     return service.route;
   }
   if (!service.state) {
--- a/src/baobab/wire/codec_test.cpp
+++ b/src/baobab/wire/codec_test.cpp
@@ -40,8 +40,10 @@
   message.nonce = 5;
   message.generation = 9;
   message.digest = 77;
-  message.sender = { { 0x7f000001, 7100 }, 3,  MemberState::Alive,
-                     { "perth", "north" }, "q", TargetState::Ready, 20 };
+  message.sender = {
+    { 0x7f000001, 7100 }, 3, MemberState::Alive, { "perth", "north" }, "q",
+    TargetState::Ready,   20
+  };
   message.subject = Endpoint{ 0x7f000002, 7100 };
   message.news = { message.sender, message.sender };
   message.suspicions = { { 1, 2, 0.5, true, 3s } };
@@ -138,8 +140,8 @@
     Payload(SampleCall()),
     Payload(AnswerMessage{ { 1, 2 }, { 200, { { "A", "b" } }, "x" }, {} }),
     Payload(MemberListMessage{ SampleGossip().news }),
-    Payload(ConfigReplyMessage{
-      { 1, 2, { { "a", 1, "hash", 2 } }, { "text" } } }),
+    Payload(
+      ConfigReplyMessage{ { 1, 2, { { "a", 1, "hash", 2 } }, { "text" } } }),
   };
   std::size_t refused = 0;
   for (int i = 0; i < kMutations; ++i) {
@@ -157,8 +159,9 @@
   BOOST_TEST(!Succeeded(DecodeGossip({})));
   BOOST_TEST(!Succeeded(DecodeGossip(Aligned("GET / HTTP/1.1\r\n").Span())));
   BOOST_TEST(!Succeeded(DecodeFrame({})));
-  const std::array<std::uint8_t, kFrameHeaderBytes> huge = { 0xff, 0xff,
-                                                             0xff, 0x7f };
+  const std::array<std::uint8_t, kFrameHeaderBytes> huge = {
+    0xff, 0xff, 0xff, 0x7f
+  };
   const auto length =
     FrameLength(std::span<const std::uint8_t, kFrameHeaderBytes>(huge));
   BOOST_REQUIRE(!Succeeded(length));
--- a/src/baobab/wire/gossip_codec.cpp
+++ b/src/baobab/wire/gossip_codec.cpp
@@ -53,7 +53,7 @@
                            subject.port,
                            builder.CreateVector(news),
                            builder.CreateVectorOfStructs(suspicions),
-    builder.CreateVector(contacts));
+                           builder.CreateVector(contacts));
   builder.Finish(root, wire::fb::GossipIdentifier());
   return { reinterpret_cast<const char*>(builder.GetBufferPointer()),
            builder.GetSize() };
--- a/testing/capacity_bench.cpp
+++ b/testing/capacity_bench.cpp
@@ -74,8 +74,8 @@
   ConfigDelta delta{ 0, 1, {}, {} };
   for (int i = 0; i < FLAGS_services; ++i) {
     const std::string name = "service-" + std::to_string(i);
-    const std::string text = "name = '" + name + "'\nrevision = 1\nhosts = ['" +
-                             name + ".example']\n";
+    const std::string text =
+      "name = '" + name + "'\nrevision = 1\nhosts = ['" + name + ".example']\n";
     delta.entries.push_back({ name, 1, ContentHash(text), 1 });
     delta.texts.push_back(text);
   }
@@ -118,9 +118,8 @@
   const std::string datagram = EncodeGossip(pushed.front().message);
   std::printf("%-28s %14zu bytes\n", "datagram full of news", datagram.size());
   std::vector<std::uint64_t> aligned(datagram.size() / 8 + 1);
-  std::copy(datagram.begin(),
-            datagram.end(),
-            reinterpret_cast<char*>(aligned.data()));
+  std::copy(
+    datagram.begin(), datagram.end(), reinterpret_cast<char*>(aligned.data()));
   const std::span<const std::uint8_t> bytes(
     reinterpret_cast<const std::uint8_t*>(aligned.data()), datagram.size());
   Measure("datagram handled", 20000, [&](int) {
@@ -130,9 +129,8 @@
     EncodeGossip(membership.Greet(Member(1).endpoint).message);
   });
   Measure("members of the zone", 200, [&](int) { membership.ZoneMembers(); });
-  Measure("spenders counted", 200, [&](int) {
-    membership.SpenderCount(Now());
-  });
+  Measure(
+    "spenders counted", 200, [&](int) { membership.SpenderCount(Now()); });
 
   const double beforeRoutes = Resident();
   const Configuration configuration = FullConfiguration();
@@ -141,8 +139,9 @@
     builder.Update(Member(i));
   }
   auto table = builder.Build(configuration, {});
-  std::printf(
-    "%-28s %14.0f bytes\n", "routes and configuration", Resident() - beforeRoutes);
+  std::printf("%-28s %14.0f bytes\n",
+              "routes and configuration",
+              Resident() - beforeRoutes);
   Measure("change of a target routed", 2000, [&](int aRound) {
     MemberRecord record = Member(aRound / 2 % FLAGS_members);
     record.targetState =
--- a/testing/fault_proxy.cpp
+++ b/testing/fault_proxy.cpp
@@ -73,9 +73,8 @@
     }
     while (true) {
       auto pair = std::make_shared<Pair>(this->context);
-      const IoResult accepted = Await([&](auto aDone) {
-        Value(acceptor).async_accept(pair->client, aDone);
-      });
+      const IoResult accepted = Await(
+        [&](auto aDone) { Value(acceptor).async_accept(pair->client, aDone); });
       if (accepted) {
         Spawn([this, pair] { this->Open(pair); });
       }
@@ -88,8 +87,7 @@
     while (true) {
       Udp::endpoint from;
       const IoResult received = Await([&](auto aDone) {
-        this->datagrams.async_receive_from(
-          asio::buffer(buffer), from, aDone);
+        this->datagrams.async_receive_from(asio::buffer(buffer), from, aDone);
       });
       if (received && !this->IsCut(from.address().to_string())) {
         this->Forward(from, std::string(buffer.data(), received.bytes));
@@ -134,8 +132,7 @@
   void Open(const std::shared_ptr<Pair>& aPair)
   {
     boost::system::error_code error;
-    aPair->source =
-      aPair->client.remote_endpoint(error).address().to_string();
+    aPair->source = aPair->client.remote_endpoint(error).address().to_string();
     auto server = Connect(this->context, this->target, 1s);
     if (!Succeeded(server)) {
       aPair->client.close(error);
@@ -189,9 +186,9 @@
   {
     Duration pause = Millis(this->faults.delayMs);
     if (this->faults.bytesPerSecond > 0) {
-      pause += std::chrono::nanoseconds(static_cast<std::int64_t>(aBytes) *
-                                        1000000000 /
-                                        this->faults.bytesPerSecond);
+      pause +=
+        std::chrono::nanoseconds(static_cast<std::int64_t>(aBytes) *
+                                 1000000000 / this->faults.bytesPerSecond);
     }
     if (pause > Duration::zero()) {
       boost::this_fiber::sleep_for(pause);
