--- a/src/baobab/decision/call_ledger.cpp
+++ b/src/baobab/decision/call_ledger.cpp
@@ -234,7 +234,9 @@
       this->byDeadline, [&](const std::pair<TimePoint, CallId>& aEntry) {
         return this->records.at(aEntry.second).state == State::Done;
       });
-    this->Forget(oldest->second);
+    // A copy, since forgetting erases the entry.
+    const CallId id = oldest->second;
+    this->Forget(id);
   }
 }
 
--- a/src/bin/baobab_load.cpp
+++ b/src/bin/baobab_load.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 DEFINE_string(experiment, "", "experiment file (TOML)");
+DEFINE_bool(print_reference, false, "print all keys of the file and exit");
 DEFINE_bool(json, false, "print one line of JSON only");
 
 namespace baobab {
@@ -40,6 +41,9 @@
 int
 Run()
 {
+  if (PrintReference(FLAGS_print_reference, ExperimentSchema())) {
+    return 0;
+  }
   const auto text = ReadTextFile(FLAGS_experiment);
   if (!Succeeded(text)) {
     std::cerr << Describe(Failure(text)) << "\n";
--- a/src/bin/baobab_publish.cpp
+++ b/src/bin/baobab_publish.cpp
@@ -16,6 +16,7 @@
               "",
               "address of the object store, for example 10.0.0.5:80");
 DEFINE_bool(check, false, "check the files only; needs no store");
+DEFINE_bool(print_reference, false, "print all keys of the file and exit");
 DEFINE_bool(diff, false, "show what would change; publishes nothing");
 
 namespace baobab {
@@ -163,6 +164,9 @@
 int
 Run(const std::vector<std::string>& aPaths)
 {
+  if (PrintReference(FLAGS_print_reference, ServiceSchema())) {
+    return 0;
+  }
   if (aPaths.empty() || (!FLAGS_check && FLAGS_store.empty())) {
     std::cerr << "baobab-publish " << kUsage << "\n";
     return kExitUsage;
--- a/src/bin/baobabd.cpp
+++ b/src/bin/baobabd.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 
 DEFINE_string(settings, "", "settings file (TOML)");
+DEFINE_bool(print_reference, false, "print all keys of the file and exit");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
 
 namespace {
@@ -24,6 +25,9 @@
 Run()
 {
   using namespace baobab;
+  if (PrintReference(FLAGS_print_reference, SettingsSchema())) {
+    return 0;
+  }
   const auto text = ReadTextFile(FLAGS_settings);
   if (!Succeeded(text)) {
     std::cerr << Describe(Failure(text)) << "\n";
--- a/src/bin/command_line.hpp
+++ b/src/bin/command_line.hpp
@@ -3,8 +3,11 @@
 #pragma once
 
 #include "baobab/core/result.hpp"
+#include "baobab/core/schema.hpp"
 
+#include <iostream>
 #include <string>
+#include <vector>
 
 namespace baobab {
 
@@ -18,6 +21,18 @@
                       int& aCount,
                       char**& aArguments);
 
+/// Prints the reference of a document's keys and returns true if the flag
+/// `--print_reference` asks for it.
+template<class T>
+bool
+PrintReference(bool aAsked, const std::vector<Field<T>>& aSchema)
+{
+  if (aAsked) {
+    std::cout << ReferenceTable(aSchema);
+  }
+  return aAsked;
+}
+
 /// Reads a whole file. Fails with System.
 Result<std::string> ReadTextFile(const std::string& aPath);
 
