--- /dev/null
+++ b/src/baobab/node/route_table_test.cpp
@@ -0,0 +1,142 @@
+#include "baobab/node/route_table.hpp"
+#include "baobab/node/target_chooser.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace baobab {
+namespace {
+
+constexpr TimePoint kNow{ 1h };
+const Locality kHere{ "perth", "north" };
+
+MemberRecord
+Member(std::uint32_t aHost, Locality aLocality = kHere)
+{
+  MemberRecord record;
+  record.endpoint = { aHost, 7100 };
+  record.incarnation = 1;
+  record.locality = std::move(aLocality);
+  record.service = "quoting";
+  record.targetState = TargetState::Ready;
+  record.slots = 10;
+  return record;
+}
+
+Configuration
+Configured(const std::string& aText)
+{
+  return Value(Configuration().Apply(
+    { 0, 1, { { "quoting", 1, ContentHash(aText), 1 } }, { aText } }));
+}
+
+const std::string kFile =
+  "name = 'quoting'\nrevision = 1\nhosts = ['q.example']\n"
+  "path_prefix = '/quote'\n";
+
+/// Makes a target look full.
+void
+Fill(TargetRef& aTarget)
+{
+  aTarget.load.Report({ 10, 5, 10 }, kNow);
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(routes)
+
+BOOST_AUTO_TEST_CASE(finds_a_service_by_host_and_path)
+{
+  RouteBuilder builder(kHere);
+  builder.Update(Member(1));
+  const auto table = builder.Build(Configured(kFile), {});
+  BOOST_TEST(table->Find("Q.example", "/quote/1") != nullptr);
+  BOOST_TEST(table->Find("q.example", "/other") == nullptr);
+  BOOST_TEST(table->Find("other", "/quote") == nullptr);
+  BOOST_TEST(table->Find("quoting") != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(unchanged_routes_are_shared_and_targets_keep_their_state)
+{
+  RouteBuilder builder(kHere);
+  builder.Update(Member(1));
+  const Configuration configuration = Configured(kFile);
+  const auto first = builder.Build(configuration, {});
+  builder.Update(Member(1));
+  const auto second = builder.Build(configuration, {});
+  BOOST_TEST(first->routes[0] == second->routes[0]);
+  builder.Update(Member(2));
+  const auto third = builder.Build(configuration, {});
+  BOOST_TEST(third->routes[0] != second->routes[0]);
+  BOOST_TEST(third->routes[0]->tiers[0][0] == first->routes[0]->tiers[0][0]);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_dead_and_silent_targets_are_left_out)
+{
+  RouteBuilder builder(kHere);
+  MemberRecord leaving = Member(1);
+  builder.Update(leaving);
+  builder.Update(Member(2));
+  builder.Update(Member(3, { "south-west", "albany" }));
+  const Configuration configuration = Configured(kFile);
+  BOOST_TEST(builder.Build(configuration, {})->TargetCount() == 3U);
+  leaving.targetState = TargetState::Leaving;
+  builder.Update(leaving);
+  BOOST_TEST(builder.Build(configuration, {})->TargetCount() == 2U);
+  MemberRecord dead = Member(2);
+  dead.state = MemberState::Dead;
+  builder.Update(dead);
+  builder.SetSilentRegions({ "south-west" });
+  BOOST_TEST(builder.Build(configuration, {})->TargetCount() == 0U);
+  builder.SetSilentRegions({});
+  BOOST_TEST(builder.Build(configuration, {})->TargetCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_spills_while_the_region_has_room)
+{
+  RouteBuilder builder(kHere);
+  builder.Update(Member(1));
+  builder.Update(Member(2, { "perth", "south" }));
+  builder.Update(Member(3, { "south-west", "albany" }));
+  const auto table = builder.Build(Configured(kFile), {});
+  const ServiceRoute& route = *table->routes[0];
+  route.state->spill.SetRate(1 << 20);
+  SplitMix random(1);
+  const auto tier = [&] {
+    return ChooseTarget(route, {}, 600, random, kNow).tier;
+  };
+  BOOST_TEST((tier() == Tier::SameZone));
+  Fill(*route.tiers[0][0]);
+  BOOST_TEST((tier() == Tier::SameRegion));
+  Fill(*route.tiers[1][0]);
+  BOOST_TEST((tier() == Tier::OtherRegion));
+  route.state->spill.SetRate(0);
+  BOOST_TEST((tier() != Tier::OtherRegion));
+}
+
+BOOST_AUTO_TEST_CASE(with_every_target_held_back_one_is_tried)
+{
+  RouteBuilder builder(kHere);
+  builder.Update(Member(1));
+  const auto table = builder.Build(Configured(kFile), {});
+  const ServiceRoute& route = *table->routes[0];
+  route.tiers[0][0]->breaker.HoldBack(kNow, 1s);
+  SplitMix random(1);
+  BOOST_TEST(ChooseTarget(route, {}, 0, random, kNow).target != nullptr);
+  const std::vector<Endpoint> tried{ { 1, 7100 } };
+  BOOST_TEST(ChooseTarget(route, tried, 0, random, kNow).target == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(a_suspect_runs_on_one_target)
+{
+  RouteBuilder builder(kHere);
+  for (std::uint32_t host = 1; host <= 9; ++host) {
+    builder.Update(Member(host));
+  }
+  const auto table = builder.Build(Configured(kFile), {});
+  const auto first = ChooseIsolated(*table->routes[0], 77).target;
+  BOOST_TEST(ChooseIsolated(*table->routes[0], 77).target == first);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
