Service-level burn: zone status, baobab-report

One daemon of each zone folds the reports of the others into one object, so that store writes follow zones. A report is repeated with its number until it is stored, and the stored status names the last number of each reporter.

--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -33,6 +33,7 @@
   std::int64_t bytesPerSecond = 16384;
   std::int64_t readersPerZone = 2;
   Millis probePeriod{ 1000 };
+  Millis statusPeriod{ 10000 };
 };
 
 struct Settings
--- /dev/null
+++ b/include/baobab/decision/burn_report.hpp
@@ -0,0 +1,38 @@
+/// @file
+#pragma once
+
+#include "baobab/core/call_class.hpp"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace baobab {
+
+/// Calls of one service within one interval, by class.
+struct ServiceCounts
+{
+  std::string service;
+  std::array<std::uint64_t, kCallClasses> calls{};
+  /// Bytes of load reports.
+  std::uint64_t measuringBytes = 0;
+
+  bool operator==(const ServiceCounts&) const = default;
+};
+
+/// What one daemon counted in one interval.
+struct BurnReport
+{
+  /// Incarnation of the reporting process.
+  std::uint64_t reporter = 0;
+  /// Rises by one with each interval; a repeated report keeps its number.
+  std::uint64_t sequence = 0;
+  /// Generation of the configuration in force there.
+  std::uint64_t generation = 0;
+  std::vector<ServiceCounts> services;
+
+  bool operator==(const BurnReport&) const = default;
+};
+
+}
--- a/include/baobab/node/call_stats.hpp
+++ b/include/baobab/node/call_stats.hpp
@@ -1,6 +1,8 @@
 /// @file
 #pragma once
 
+#include "baobab/core/call_class.hpp"
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/weighted_mean.hpp>
@@ -13,20 +15,6 @@
 
 namespace baobab {
 
-/// How a call counts towards its service's objective.
-enum class CallClass : std::uint8_t
-{
-  Good,
-  /// Answered later than the objective's latency.
-  Late,
-  /// Answered by the target with a server error.
-  Failed,
-  NotRun,
-  Unknown,
-};
-
-constexpr std::size_t kCallClasses = 5;
-
 /// Statistics of one service on one worker, or of several workers together.
 struct ServiceStats
 {
--- a/include/baobab/node/metrics.hpp
+++ b/include/baobab/node/metrics.hpp
@@ -24,9 +24,6 @@
   std::string text;
 };
 
-/// Returns the name of a class of calls in metrics and reports.
-std::string_view Name(CallClass aClass);
-
 /// Adds the statistics of one worker to those of others.
 void MergeStats(WorkerStats& aInto, const WorkerStats& aFrom);
 
--- a/include/baobab/wire/peer_message.hpp
+++ b/include/baobab/wire/peer_message.hpp
@@ -7,6 +7,7 @@
 #include "baobab/core/load_report.hpp"
 #include "baobab/core/outcome.hpp"
 #include "baobab/core/time.hpp"
+#include "baobab/decision/burn_report.hpp"
 #include "baobab/decision/call_ledger.hpp"
 #include "baobab/decision/configuration.hpp"
 #include "baobab/decision/member.hpp"
@@ -116,6 +117,18 @@
   std::vector<MemberRecord> members;
 };
 
+/// What a daemon counted, for the status of its availability zone.
+struct BurnReportMessage
+{
+  BurnReport report;
+};
+
+/// The report is part of the stored status.
+struct BurnAckMessage
+{
+  std::uint64_t sequence = 0;
+};
+
 using PeerMessage = std::variant<HelloMessage,
                                  WelcomeMessage,
                                  CallMessage,
@@ -130,6 +143,8 @@
                                  ConfigRequestMessage,
                                  ConfigReplyMessage,
                                  TableRequestMessage,
-                                 MemberListMessage>;
+                                 MemberListMessage,
+                                 BurnReportMessage,
+                                 BurnAckMessage>;
 
 }
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -157,6 +157,12 @@
       { 50, 60000 },
       "ms",
       "Period of membership probes."),
+    Time<S>(
+      "control.status_ms",
+      [](S& s) -> auto& { return s.control.statusPeriod; },
+      { 500, 600000 },
+      "ms",
+      "Period of reports to the availability zone's status."),
   };
 }
 
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -10,6 +10,7 @@
 #include "baobab/node/metrics.hpp"
 #include "baobab/node/peer_server.hpp"
 #include "baobab/node/route_publisher.hpp"
+#include "baobab/node/status_agent.hpp"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/fiber/future.hpp>
@@ -128,6 +129,13 @@
         },
         EntropySeed(),
         aSettings)
+    , status(
+        this->control.Context(),
+        this->membership,
+        this->pacer,
+        [this] { return this->Counts(); },
+        [this] { return this->config.Generation(); },
+        aSettings)
     , adminGate(kAdminConnections)
   {
   }
@@ -206,6 +214,8 @@
     Spawn([this] { this->gossip.RunSeeds(); });
     Spawn([this] { this->gossip.RunExchanges(); });
     Spawn([this] { this->config.Run(); });
+    Spawn([this] { this->status.RunReports(); });
+    Spawn([this] { this->status.RunAggregation(); });
     Spawn([this] { this->RunTimers(); });
     Spawn([this] { this->peers.Serve(*this->peerAcceptor); });
     Spawn([this] {
@@ -284,6 +294,10 @@
       this->gossip.Reply(aFrames, *table);
       return true;
     }
+    if (const auto* burn = std::get_if<BurnReportMessage>(&aMessage)) {
+      this->status.Take(aFrames, burn->report);
+      return true;
+    }
     return false;
   }
 
@@ -306,7 +320,8 @@
     return future.get();
   }
 
-  std::string Metrics()
+  /// Statistics of all workers together.
+  WorkerStats AllStats()
   {
     WorkerStats stats;
     for (const auto& worker : this->workers) {
@@ -315,6 +330,24 @@
       });
       MergeStats(stats, part);
     }
+    return stats;
+  }
+
+  CountsSinceStart Counts()
+  {
+    CountsSinceStart counts;
+    for (const auto& [service, stats] : this->AllStats()) {
+      const auto route = this->RouteOf(service);
+      const auto bytes = route ? route->state->measuring.Spent() : 0;
+      counts.push_back(
+        { service, stats.calls, static_cast<std::uint64_t>(bytes) });
+    }
+    return counts;
+  }
+
+  std::string Metrics()
+  {
+    const WorkerStats stats = this->AllStats();
     MetricsPage page;
     for (const auto& [service, values] : stats) {
       page.AddService(service, values);
@@ -342,7 +375,8 @@
     add("gossip_exchanges_total", counts.exchanges);
     add("control_spent_bytes_total", this->pacer.Spent());
     add("store_calls_total",
-        this->config.StoreCalls() + this->gossip.StoreCalls());
+        this->config.StoreCalls() + this->gossip.StoreCalls() +
+          this->status.StoreCalls());
     add("target_running", load.running);
     add("target_queued", load.queued);
     add("target_slots", load.slots);
@@ -425,6 +459,7 @@
   TargetClient target;
   CallServer calls;
   PeerServer peers;
+  StatusAgent status;
   HttpLimits limits;
   HttpHandler adminHandler;
   HttpGate adminGate;
--- a/src/baobab/node/metrics.cpp
+++ b/src/baobab/node/metrics.cpp
@@ -50,24 +50,6 @@
   this->Add("spilled_total", label, static_cast<double>(aStats.spilled));
 }
 
-std::string_view
-Name(CallClass aClass)
-{
-  switch (aClass) {
-    case CallClass::Good:
-      return "good";
-    case CallClass::Late:
-      return "late";
-    case CallClass::Failed:
-      return "failed";
-    case CallClass::NotRun:
-      return "not-run";
-    case CallClass::Unknown:
-      break;
-  }
-  return "unknown";
-}
-
 void
 MergeStats(WorkerStats& aInto, const WorkerStats& aFrom)
 {
--- a/src/baobab/wire/codec_test.cpp
+++ b/src/baobab/wire/codec_test.cpp
@@ -125,6 +125,11 @@
   BOOST_TEST((got.refusal.reason == RefusalReason::Leaving));
   BOOST_TEST(got.refusal.retried);
   BOOST_TEST((got.load == LoadReport{ 3, 4, 20 }));
+  const BurnReportMessage burn{ { 1, 2, 3, { { "q", { 1, 2, 3, 4, 5 }, 6 } } } };
+  const auto report = DecodeFrame(Aligned(Payload(burn)).Span());
+  BOOST_REQUIRE(Succeeded(report));
+  BOOST_TEST(
+    (std::get<BurnReportMessage>(Value(report)).report == burn.report));
   const MemberListMessage list{ SampleGossip().news };
   const auto members = DecodeFrame(Aligned(Payload(list)).Span());
   BOOST_REQUIRE(Succeeded(members));
--- a/src/baobab/wire/peer_codec.cpp
+++ b/src/baobab/wire/peer_codec.cpp
@@ -286,6 +286,58 @@
   return aText == nullptr ? std::string() : aText->str();
 }
 
+Encoded
+Encode(Builder& aBuilder, const BurnReportMessage& aMessage)
+{
+  const BurnReport& report = aMessage.report;
+  std::vector<flatbuffers::Offset<fb::ServiceCounts>> services;
+  for (const ServiceCounts& counts : report.services) {
+    const auto name = aBuilder.CreateString(counts.service);
+    const auto calls =
+      aBuilder.CreateVector(counts.calls.data(), counts.calls.size());
+    services.push_back(fb::CreateServiceCounts(
+      aBuilder, name, calls, counts.measuringBytes));
+  }
+  const auto list = aBuilder.CreateVector(services);
+  return { fb::Body::BurnReport,
+           fb::CreateBurnReport(aBuilder,
+                                report.reporter,
+                                report.sequence,
+                                report.generation,
+                                list)
+             .Union() };
+}
+
+Encoded
+Encode(Builder& aBuilder, const BurnAckMessage& aMessage)
+{
+  return { fb::Body::BurnAck,
+           fb::CreateBurnAck(aBuilder, aMessage.sequence).Union() };
+}
+
+Result<PeerMessage>
+Decode(const fb::BurnReport& aReport)
+{
+  BurnReportMessage message;
+  message.report = {
+    aReport.reporter(), aReport.sequence(), aReport.generation(), {}
+  };
+  if (aReport.services() == nullptr) {
+    return PeerMessage(std::move(message));
+  }
+  for (const fb::ServiceCounts* counts : *aReport.services()) {
+    ServiceCounts read;
+    read.service = counts->service()->str();
+    read.measuringBytes = counts->measuring_bytes();
+    if (counts->calls() == nullptr || counts->calls()->size() != kCallClasses) {
+      return Error{ ErrorKind::BadMessage, "counts of other classes", "" };
+    }
+    std::ranges::copy(*counts->calls(), read.calls.begin());
+    message.report.services.push_back(std::move(read));
+  }
+  return PeerMessage(std::move(message));
+}
+
 Result<PeerMessage>
 Decode(const fb::Call& aCall)
 {
@@ -417,6 +469,11 @@
     }
     case fb::Body::MemberList:
       return Decode(*aEnvelope.body_as_MemberList());
+    case fb::Body::BurnReport:
+      return Decode(*aEnvelope.body_as_BurnReport());
+    case fb::Body::BurnAck:
+      return PeerMessage(
+        BurnAckMessage{ aEnvelope.body_as_BurnAck()->sequence() });
     case fb::Body::NONE:
       break;
   }
--- /dev/null
+++ b/src/bin/baobab_report.cpp
@@ -0,0 +1,150 @@
+/// @file
+/// Shows the service-level burn.
+#include "baobab/net/http_store.hpp"
+#include "baobab/net/publish.hpp"
+#include "baobab/net/status_json.hpp"
+#include "baobab/net/worker.hpp"
+#include "baobab/report/burn_page.hpp"
+#include "command_line.hpp"
+
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(store, "", "address of the object store");
+DEFINE_bool(json, false, "print JSON");
+DEFINE_bool(html, false, "print a self-contained HTML page");
+
+namespace baobab {
+namespace {
+
+constexpr char kUsage[] =
+  "shows the service-level burn of all services\n\n"
+  "  baobab-report --store ADDRESS [--json | --html]\n\n"
+  "Burn 1 uses the error budget up exactly in its window. The age of a zone\n"
+  "says how old its figures are.\n"
+  "Exit codes: 0 no alert, 1 an alert is raised, 2 wrong command line,\n"
+  "3 the store is away.";
+
+constexpr int kExitAlert = 1;
+
+/// A store that is slow must not spoil the report.
+constexpr Duration kStoreTime = 15s;
+
+Result<std::vector<ServiceSpec>>
+ReadServices(HttpStore& aStore, const Manifest& aManifest)
+{
+  std::vector<ServiceSpec> services;
+  for (const ManifestEntry& entry : aManifest.entries) {
+    auto file = aStore.Get(ServiceFileKey(entry.hash));
+    if (!Succeeded(file)) {
+      return Failure(file);
+    }
+    if (!Value(file)) {
+      continue;
+    }
+    auto spec = ParseService(Value(file)->value, entry.name + ".toml");
+    if (Succeeded(spec) && !Value(spec).retired) {
+      services.push_back(std::move(Value(spec)));
+    }
+  }
+  return services;
+}
+
+Result<std::map<std::string, ZoneStatus>>
+ReadZones(HttpStore& aStore)
+{
+  auto keys = aStore.List(kStatusPrefix);
+  if (!Succeeded(keys)) {
+    return Failure(keys);
+  }
+  std::map<std::string, ZoneStatus> zones;
+  for (const std::string& key : Value(keys)) {
+    auto object = aStore.Get(key);
+    if (!Succeeded(object)) {
+      return Failure(object);
+    }
+    if (!Value(object)) {
+      continue;
+    }
+    auto status = DecodeStatus(Value(object)->value);
+    if (!Succeeded(status)) {
+      std::cerr << key << ": " << Describe(Failure(status)) << "\n";
+      continue;
+    }
+    zones[key.substr(kStatusPrefix.size())] = std::move(Value(status));
+  }
+  return zones;
+}
+
+Result<BurnPage>
+ReadPage(HttpStore& aStore)
+{
+  const auto manifest = ReadManifest(aStore);
+  if (!Succeeded(manifest)) {
+    return Failure(manifest);
+  }
+  const auto services = ReadServices(aStore, Value(manifest).manifest);
+  if (!Succeeded(services)) {
+    return Failure(services);
+  }
+  const auto zones = ReadZones(aStore);
+  if (!Succeeded(zones)) {
+    return Failure(zones);
+  }
+  const auto now = std::chrono::duration_cast<StatusTime>(
+    std::chrono::system_clock::now().time_since_epoch());
+  return BuildBurnPage(Value(services),
+                       Value(zones),
+                       Value(manifest).manifest.generation,
+                       now);
+}
+
+int
+Show(const BurnPage& aPage)
+{
+  std::cout << (FLAGS_json   ? BurnJson(aPage) + "\n"
+                : FLAGS_html ? BurnHtml(aPage)
+                             : BurnTable(aPage));
+  const bool alert =
+    std::ranges::any_of(aPage.services, [](const ServiceBurn& aService) {
+      return aService.burn.alert != BurnAlert::None;
+    });
+  return alert ? kExitAlert : 0;
+}
+
+int
+Run()
+{
+  const auto endpoint = ParseEndpoint(FLAGS_store);
+  if (!Succeeded(endpoint)) {
+    std::cerr << "--store: " << Describe(Failure(endpoint)) << "\n";
+    return kExitUsage;
+  }
+  int code = 0;
+  Worker worker;
+  worker.RunHere([&] {
+    HttpStore store(worker.Context(), Value(endpoint), kStoreTime);
+    const auto page = ReadPage(store);
+    if (Succeeded(page)) {
+      code = Show(Value(page));
+    } else {
+      std::cerr << Describe(Failure(page)) << "\n";
+      code = kExitUnavailable;
+    }
+    worker.Stop();
+  });
+  return code;
+}
+
+}
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  baobab::ParseCommandLine(
+    baobab::kUsage, BAOBAB_VERSION, aCount, aArguments);
+  const int code = baobab::Run();
+  std::cout.flush();
+  std::_Exit(code);
+}
