Cancel the losers of hedged calls; fewer redundant load reports

Cause: the loser of a hedged call kept its slot at a stalled target until the deadline; a cancel that arrived while the target's connection was being opened was lost. A load report is left out for 100 ms while it would say about the same.

--- a/include/baobab/core/outcome.hpp
+++ b/include/baobab/core/outcome.hpp
@@ -54,6 +54,7 @@
   TargetFailed,
   DeadlinePassed,
   AnswerTooLarge,
+  Cancelled,
 };
 
 /// Returns a sentence for callers and logs.
--- a/include/baobab/decision/call_attempt.hpp
+++ b/include/baobab/decision/call_attempt.hpp
@@ -58,6 +58,9 @@
   /// The receiver does not know what became of the call.
   AttemptAction OnLost();
 
+  /// The outcome is no longer wanted.
+  AttemptAction OnCancelled();
+
   /// The deadline passed.
   AttemptAction OnDeadline();
 
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -23,6 +23,9 @@
   /// True if the other daemon is in another region.
   bool across = false;
   std::shared_ptr<FrameConnection> frames;
+  /// Last load report on this connection.
+  LoadReport reported;
+  TimePoint reportedAt;
 };
 
 /// Runs the calls that other daemons send for the local target. It belongs to
@@ -82,8 +85,7 @@
   {
     Fingerprint fingerprint = 0;
     bool suspect = false;
-    bool cancelled = false;
-    HttpClient* connection = nullptr;
+    TargetControl control;
   };
 
   void Decide(CallMessage aCall, TimePoint aDeadline);
--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -48,7 +48,9 @@
   Outcome Carry(const Call& aCall, ServiceStats& aStats);
   ChosenTarget ChooseFor(const Call& aCall,
                          const std::vector<Endpoint>& aTried);
-  Outcome Attempt(const Call& aCall, const ChosenTarget& aChosen);
+  Outcome Attempt(const Call& aCall,
+                  const ChosenTarget& aChosen,
+                  Cancellation* aCancellation = nullptr);
   Outcome AttemptHedged(const Call& aCall,
                         const ChosenTarget& aChosen,
                         const std::vector<Endpoint>& aTried);
--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -7,6 +7,7 @@
 #include "baobab/net/signal.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -20,6 +21,13 @@
   std::optional<LoadReport> load;
 };
 
+/// Lets another fiber of the same thread cancel a running attempt.
+struct Cancellation
+{
+  /// Set while the attempt can be cancelled.
+  std::function<void()> cancel;
+};
+
 /// Identity of the sending end of a worker's links.
 struct LinkIdentity
 {
@@ -41,9 +49,11 @@
 
   /// Runs one attempt; suspends the fiber until its outcome is known or its
   /// deadline passed.
+  /// @param aCancellation filled while the attempt runs
   AttemptResult Run(const Request& aRequest,
                     bool aIdempotent,
-                    TimePoint aDeadline);
+                    TimePoint aDeadline,
+                    Cancellation* aCancellation = nullptr);
 
   /// Attempts whose outcome is not known yet.
   std::size_t InFlight() const { return this->pending.size(); }
@@ -58,6 +68,7 @@
   };
 
   void Perform(Pending& aPending, AttemptAction aAction);
+  void GiveUp(Pending& aPending, AttemptAction aAction);
   void Maintain();
   bool Connect();
   bool ShakeHands();
--- a/include/baobab/node/target_client.hpp
+++ b/include/baobab/node/target_client.hpp
@@ -22,6 +22,22 @@
   std::size_t answerBytes = 0;
 };
 
+/// Lets another fiber cancel a call at the target.
+struct TargetControl
+{
+  /// Set while the call is on a connection.
+  HttpClient* connection = nullptr;
+  bool cancelled = false;
+
+  void Cancel()
+  {
+    this->cancelled = true;
+    if (this->connection != nullptr) {
+      this->connection->Close();
+    }
+  }
+};
+
 /// How the target dealt with a call.
 struct TargetResult
 {
@@ -44,9 +60,8 @@
   void SetEndpoint(const Endpoint& aEndpoint);
 
   /// Runs a call. Only an idempotent one uses a connection that was used
-  /// before. @param aConnection is set while the call can be cancelled by
-  ///   closing it
-  TargetResult Run(const TargetCall& aCall, HttpClient*& aConnection);
+  /// before.
+  TargetResult Run(const TargetCall& aCall, TargetControl& aControl);
 
   /// True if the target accepts connections.
   bool IsListening();
@@ -55,7 +70,7 @@
   std::unique_ptr<HttpClient> TakePooled();
   TargetResult Exchange(const TargetCall& aCall,
                         std::unique_ptr<HttpClient> aClient,
-                        HttpClient*& aConnection);
+                        TargetControl& aControl);
   Request Prepare(const TargetCall& aCall) const;
 
   boost::asio::io_context& context;
--- a/src/baobab/core/outcome.cpp
+++ b/src/baobab/core/outcome.cpp
@@ -46,6 +46,8 @@
       return "the deadline passed during the call";
     case UnknownCause::AnswerTooLarge:
       return "the answer is larger than the service's limit";
+    case UnknownCause::Cancelled:
+      return "the call was cancelled";
   }
   return "";
 }
--- a/src/baobab/decision/call_attempt.cpp
+++ b/src/baobab/decision/call_attempt.cpp
@@ -75,6 +75,18 @@
            : this->End(OutcomeUnknown{ UnknownCause::TargetFailed });
 }
 
+AttemptAction
+CallAttempt::OnCancelled()
+{
+  if (this->outcome) {
+    return AttemptAction::Wait;
+  }
+  if (!this->sentOn) {
+    return this->End(NotRun{ RefusalReason::Cancelled, "cancelled" });
+  }
+  return this->End(OutcomeUnknown{ UnknownCause::Cancelled });
+}
+
 AttemptAction
 CallAttempt::OnDeadline()
 {
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
+#include <cstdlib>
 
 namespace baobab {
 namespace {
@@ -16,6 +17,12 @@
 /// Bytes that a load report adds to a message.
 constexpr std::int64_t kReportBytes = 12;
 
+/// Time for which a report is not repeated while it is about true.
+constexpr Duration kReportPause = 100ms;
+
+/// Change of the load that is reported at once, as a part of the slots.
+constexpr int kReportedChange = 10;
+
 /// Time in which broken connections are taken for one crash.
 constexpr Duration kCrashWindow = 20ms;
 
@@ -25,6 +32,18 @@
   return std::chrono::steady_clock::now();
 }
 
+/// True if the last report on a connection still says about the same.
+bool
+IsStillTrue(const SenderConnection& aConnection, const LoadReport& aReport)
+{
+  const LoadReport& before = aConnection.reported;
+  const int change = (aReport.running + aReport.queued) -
+                     (before.running + before.queued);
+  return Now() - aConnection.reportedAt < kReportPause &&
+         aReport.slots == before.slots &&
+         std::abs(change) * kReportedChange <= aReport.slots;
+}
+
 AdmissionLimits
 LimitsOf(const ServiceSpec& aSpec, const Settings& aSettings)
 {
@@ -173,9 +192,8 @@
     return;
   }
   const auto found = this->running.find(aCancel.id);
-  if (found != this->running.end() && found->second.connection != nullptr) {
-    found->second.cancelled = true;
-    found->second.connection->Close();
+  if (found != this->running.end()) {
+    found->second.control.Cancel();
   }
 }
 
@@ -281,8 +299,8 @@
                        aCall.idempotent,
                        aDeadline,
                        static_cast<std::size_t>(spec.limits.answerBytes) },
-                     state.connection);
-  const bool cancelled = state.cancelled;
+                     state.control);
+  const bool cancelled = state.control.cancelled;
   if (result.broken && !cancelled) {
     this->NoteBroken(fingerprint);
   }
@@ -383,9 +401,10 @@
 std::optional<LoadReport>
 CallServer::ChargedReport(const CallId& aId)
 {
-  const SenderConnection* connection = this->ConnectionOf(aId);
+  SenderConnection* connection = this->ConnectionOf(aId);
   const auto route = this->lookup(this->admission.Service());
-  if (connection == nullptr || !route) {
+  const LoadReport report = this->admission.Report();
+  if (connection == nullptr || !route || IsStillTrue(*connection, report)) {
     return std::nullopt;
   }
   ServiceState& state = *route->state;
@@ -396,7 +415,9 @@
   if (!state.measuring.Charge(kReportBytes, Now())) {
     return std::nullopt;
   }
-  return this->admission.Report();
+  connection->reported = report;
+  connection->reportedAt = Now();
+  return report;
 }
 
 SenderConnection*
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <deque>
 
 namespace baobab {
 namespace {
@@ -235,14 +236,17 @@
 }
 
 Outcome
-Ingress::Attempt(const Call& aCall, const ChosenTarget& aChosen)
+Ingress::Attempt(const Call& aCall,
+                 const ChosenTarget& aChosen,
+                 Cancellation* aCancellation)
 {
   TargetRef& target = *aChosen.target;
   const TimePoint began = Now();
   target.load.Began();
   AttemptResult result =
     this->links.To(target.endpoint)
-      ->Run(aCall.request, aCall.idempotent, aCall.deadline);
+      ->Run(
+        aCall.request, aCall.idempotent, aCall.deadline, aCancellation);
   target.load.Ended();
   this->Learn(aCall, target, result, Now() - began);
   return std::move(result.outcome);
@@ -256,16 +260,17 @@
   struct Race
   {
     std::vector<Outcome> outcomes;
-    std::size_t started = 0;
+    std::deque<Cancellation> started;
     Signal changed;
   };
   auto race = std::make_shared<Race>();
   // The racers may outlive this call; they share what they need.
   auto call = std::make_shared<const Call>(aCall);
   const auto start = [&](const ChosenTarget& aTarget) {
-    ++race->started;
-    Spawn([this, race, call, aTarget] {
-      race->outcomes.push_back(this->Attempt(*call, aTarget));
+    Cancellation& cancellation = race->started.emplace_back();
+    Spawn([this, race, call, aTarget, &cancellation] {
+      race->outcomes.push_back(
+        this->Attempt(*call, aTarget, &cancellation));
       race->changed.Notify();
     });
   };
@@ -283,13 +288,19 @@
   const auto answered = [](const Outcome& aOutcome) {
     return std::holds_alternative<Answered>(aOutcome);
   };
-  while (race->outcomes.size() < race->started &&
+  while (race->outcomes.size() < race->started.size() &&
          std::ranges::none_of(race->outcomes, answered)) {
     race->changed.Wait();
   }
   const auto best = std::ranges::find_if(race->outcomes, answered);
   if (best != race->outcomes.end()) {
-    return std::move(*best);
+    Outcome outcome = std::move(*best);
+    for (Cancellation& loser : race->started) {
+      if (loser.cancel) {
+        loser.cancel();
+      }
+    }
+    return outcome;
   }
   // Without an answer, "not run" needs that neither attempt may have run.
   const auto unknown =
@@ -334,7 +345,8 @@
                [&](const OutcomeUnknown& aUnknown) {
                  // A lost link is no sign of a failing target; whether it can
                  // be reached again shows when the link reconnects.
-                 if (aUnknown.cause != UnknownCause::LinkLost) {
+                 if (aUnknown.cause != UnknownCause::LinkLost &&
+            aUnknown.cause != UnknownCause::Cancelled) {
                    aTarget.breaker.Failed(Now());
                  }
                },
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -41,12 +41,20 @@
 }
 
 AttemptResult
-PeerLink::Run(const Request& aRequest, bool aIdempotent, TimePoint aDeadline)
+PeerLink::Run(const Request& aRequest,
+              bool aIdempotent,
+              TimePoint aDeadline,
+              Cancellation* aCancellation)
 {
   const CallId id{ this->identity.sender, this->nextSequence++ };
   Pending pending{ CallAttempt(id, aIdempotent, aDeadline), aRequest };
   this->pending.emplace(id.sequence, &pending);
   this->lastUsed = Now();
+  if (aCancellation != nullptr) {
+    aCancellation->cancel = [this, &pending] {
+      this->GiveUp(pending, pending.attempt.OnCancelled());
+    };
+  }
   if (aDeadline <= this->lastUsed) {
     pending.attempt.OnDeadline();
   } else if (this->ready) {
@@ -57,15 +65,29 @@
     Spawn([self = this->shared_from_this()] { self->Maintain(); });
   }
   if (!pending.attempt.Result() && !pending.finished.WaitUntil(aDeadline)) {
-    pending.attempt.OnDeadline();
-    if (this->ready && pending.attempt.WasSent()) {
-      this->connection->Send(CancelMessage{ id });
-    }
+    this->GiveUp(pending, pending.attempt.OnDeadline());
+  }
+  if (aCancellation != nullptr) {
+    aCancellation->cancel = nullptr;
   }
   this->pending.erase(id.sequence);
   return { *pending.attempt.Result(), pending.load };
 }
 
+/// Ends an attempt whose outcome is no longer waited for, and tells the
+/// target's daemon.
+void
+PeerLink::GiveUp(Pending& aPending, AttemptAction aAction)
+{
+  if (aAction != AttemptAction::Finish) {
+    return;
+  }
+  if (this->ready && aPending.attempt.WasSent()) {
+    this->connection->Send(CancelMessage{ aPending.attempt.Id() });
+  }
+  aPending.finished.Notify();
+}
+
 void
 PeerLink::Perform(Pending& aPending, AttemptAction aAction)
 {
--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -44,13 +44,13 @@
 }
 
 TargetResult
-TargetClient::Run(const TargetCall& aCall, HttpClient*& aConnection)
+TargetClient::Run(const TargetCall& aCall, TargetControl& aControl)
 {
   if (aCall.idempotent) {
     if (auto pooled = this->TakePooled()) {
       TargetResult result =
-        this->Exchange(aCall, std::move(pooled), aConnection);
-      if (!result.broken) {
+        this->Exchange(aCall, std::move(pooled), aControl);
+      if (!result.broken || aControl.cancelled) {
         return result;
       }
     }
@@ -64,7 +64,7 @@
     return { NotRun{ RefusalReason::NotReady,
                      "the target accepts no connection" } };
   }
-  return this->Exchange(aCall, std::move(Value(opened)), aConnection);
+  return this->Exchange(aCall, std::move(Value(opened)), aControl);
 }
 
 bool
@@ -90,16 +90,19 @@
 TargetResult
 TargetClient::Exchange(const TargetCall& aCall,
                        std::unique_ptr<HttpClient> aClient,
-                       HttpClient*& aConnection)
+                       TargetControl& aControl)
 {
   const Duration left = aCall.deadline - std::chrono::steady_clock::now();
   if (left <= Duration::zero()) {
     return { NotRun{ RefusalReason::Expired, "the deadline passed" } };
   }
-  aConnection = aClient.get();
+  if (aControl.cancelled) {
+    return { NotRun{ RefusalReason::Cancelled, "cancelled" } };
+  }
+  aControl.connection = aClient.get();
   auto response =
     aClient->Exchange(this->Prepare(aCall), aCall.answerBytes, left);
-  aConnection = nullptr;
+  aControl.connection = nullptr;
   if (!Succeeded(response)) {
     const Error& error = Failure(response);
     return { OutcomeUnknown{ CauseOf(error.kind) },
