--- /dev/null
+++ b/testing/integration/chaos_test.sh
@@ -0,0 +1,90 @@
+#!/usr/bin/env bash
+# Everything at once, drawn from a seed: silent and reset links, cut regions,
+# paused and killed daemons, killed, stalled and leaving targets, a store that
+# is away, slow or loses answers, and publishing meanwhile.
+#   chaos_test.sh [SEED]
+NET=127.20.11
+ANNOUNCED=1
+SEED=${1:-7}
+. "$(dirname "$0")/lib.sh"
+
+TARGET_FLAGS="--mean_ms 10"
+RANDOM=$SEED
+pick() { echo $((RANDOM % $1 + ${2:-1})); }
+
+start_store
+hosts=(1 2 3 4 5 6)
+for n in "${hosts[@]}"; do
+  start_proxy "$n"
+done
+start_hosts perth perth-north quoting 1 2
+start_hosts perth perth-south quoting 3
+start_hosts south-west albany quoting 4 5 6
+publish examples/services/quoting.toml
+wait_fleet "${hosts[@]}"
+
+restart_target() { # N
+  start_target "$1" quoting $TARGET_FLAGS
+}
+
+revision=1
+publish_next() {
+  revision=$((revision + 1))
+  sed "s/^revision = 1/revision = $revision/" examples/services/quoting.toml \
+    >"$WORK/quoting.toml"
+  # The store may be away; a later revision makes up for it.
+  publish "$WORK/quoting.toml" >/dev/null 2>&1 || true
+}
+
+store_fault() { curl -fs -o /dev/null -d "$1" "http://$STORE/faults"; }
+
+# Callers use hosts 1 and 4, whose daemons stay.
+start_load chaos 25 80 0.5 1 4
+for step in $(seq 20); do
+  n=$(pick 6)
+  case $(pick 9) in
+    1) set_faults "$n" '{"silence": "both"}' ;;
+    2) set_faults "$n" '{"silence": "down"}' ;;
+    3) set_faults "$n" '{"reset": true}' ;;
+    4) set_faults "$n" "{\"cut_from\": [\"$NET.$(pick 6)\"]}" ;;
+    5)
+      victim=$(pick 2 2)
+      kill -STOP "${DAEMON_PID[$victim]}"
+      sleep 1.5
+      kill -CONT "${DAEMON_PID[$victim]}"
+      ;;
+    6)
+      victim=$(pick 2 5)
+      kill_now "${DAEMON_PID[$victim]}"
+      start_daemon "$victim"
+      ;;
+    7)
+      kill_now "${TARGET_PID[$n]}"
+      restart_target "$n"
+      ;;
+    8)
+      curl -fs -m 2 -o /dev/null -d on "http://$NET.$n:8000/control/stall" || true
+      sleep 0.5
+      curl -fs -m 2 -o /dev/null -d off "http://$NET.$n:8000/control/stall" || true
+      ;;
+    9)
+      store_fault '{"outage": true}'
+      sleep 0.5
+      store_fault '{"outage": false, "lose_answers": 1}'
+      ;;
+  esac
+  publish_next
+  sleep 0.5
+done
+for n in "${hosts[@]}"; do
+  set_faults "$n" '{"cut_from": []}'
+done
+finish_load chaos
+
+# Once the faults are over, the newest revision is in force everywhere.
+store_fault '{"lose_answers": 0}'
+publish "$WORK/quoting.toml"
+newest=$(curl -fs "http://$STORE/v1/objects/config/manifest" |
+  grep -o '"generation":[0-9]*' | head -1 | cut -d: -f2)
+wait_metric generation "$newest" 18 "${hosts[@]}"
+wait_metric routable_targets 6 60 "${hosts[@]}"
