--- a/include/baobab/decision/burn_rate.hpp
+++ b/include/baobab/decision/burn_rate.hpp
@@ -21,8 +21,7 @@
   Page,
 };
 
-std::string_view
-Name(BurnAlert aAlert);
+std::string_view Name(BurnAlert aAlert);
 
 /// Spans over which burn is shown.
 constexpr std::array<std::chrono::seconds, 4> kBurnSpans = {
@@ -43,9 +42,8 @@
 
 /// Computes burn and alert by two windows each: a long one that shows that it
 /// matters, and a short one that shows that it still goes on.
-BurnSummary
-SummariseBurn(const BurnSeries& aSeries,
-              const ObjectiveSpec& aObjective,
-              StatusTime aNow);
+BurnSummary SummariseBurn(const BurnSeries& aSeries,
+                          const ObjectiveSpec& aObjective,
+                          StatusTime aNow);
 
 }
--- a/include/baobab/net/status_json.hpp
+++ b/include/baobab/net/status_json.hpp
@@ -14,14 +14,11 @@
 constexpr std::string_view kStatusPrefix = "status/";
 
 /// Key of a zone's status.
-std::string
-StatusKey(std::string_view aRegion, std::string_view aZone);
+std::string StatusKey(std::string_view aRegion, std::string_view aZone);
 
-std::string
-EncodeStatus(const ZoneStatus& aStatus);
+std::string EncodeStatus(const ZoneStatus& aStatus);
 
 /// Fails with BadMessage.
-Result<ZoneStatus>
-DecodeStatus(std::string_view aText);
+Result<ZoneStatus> DecodeStatus(std::string_view aText);
 
 }
--- a/include/baobab/node/status_agent.hpp
+++ b/include/baobab/node/status_agent.hpp
@@ -84,11 +84,10 @@
 };
 
 /// What was counted between two points in time.
-CountsSinceStart
-Difference(const CountsSinceStart& aBefore, const CountsSinceStart& aAfter);
+CountsSinceStart Difference(const CountsSinceStart& aBefore,
+                            const CountsSinceStart& aAfter);
 
 /// Adds counts to those of a report.
-void
-AddCounts(BurnReport& aReport, const CountsSinceStart& aCounts);
+void AddCounts(BurnReport& aReport, const CountsSinceStart& aCounts);
 
 }
--- a/include/baobab/report/burn_page.hpp
+++ b/include/baobab/report/burn_page.hpp
@@ -39,26 +39,21 @@
 };
 
 /// Folds the status of all zones.
-BurnPage
-BuildBurnPage(const std::vector<ServiceSpec>& aServices,
-              const std::map<std::string, ZoneStatus>& aZones,
-              std::uint64_t aGeneration,
-              StatusTime aNow);
+BurnPage BuildBurnPage(const std::vector<ServiceSpec>& aServices,
+                       const std::map<std::string, ZoneStatus>& aZones,
+                       std::uint64_t aGeneration,
+                       StatusTime aNow);
 
 /// What to do about a service's burn; empty if nothing is to be done.
-std::string
-RemedyFor(const ServiceBurn& aService);
+std::string RemedyFor(const ServiceBurn& aService);
 
 /// Table for a terminal.
-std::string
-BurnTable(const BurnPage& aPage);
+std::string BurnTable(const BurnPage& aPage);
 
 /// JSON for programs.
-std::string
-BurnJson(const BurnPage& aPage);
+std::string BurnJson(const BurnPage& aPage);
 
 /// Self-contained HTML page with plots.
-std::string
-BurnHtml(const BurnPage& aPage);
+std::string BurnHtml(const BurnPage& aPage);
 
 }
--- a/src/baobab/decision/burn_test.cpp
+++ b/src/baobab/decision/burn_test.cpp
@@ -13,7 +13,9 @@
 BurnReport
 Report(std::uint64_t aReporter, std::uint64_t aSequence, std::uint64_t aGood)
 {
-  return { aReporter, aSequence, 5, { { "quoting", { aGood, 0, 0, 1, 0 }, 7 } } };
+  return {
+    aReporter, aSequence, 5, { { "quoting", { aGood, 0, 0, 1, 0 }, 7 } }
+  };
 }
 
 }
@@ -54,8 +56,7 @@
   BurnSeries over;
   over.Add({ 700, 300 }, kNow - 40min);
   over.Add({ 1000, 0 }, kNow);
-  BOOST_TEST((SummariseBurn(over, objective, kNow).alert ==
-              BurnAlert::Ticket));
+  BOOST_TEST((SummariseBurn(over, objective, kNow).alert == BurnAlert::Ticket));
   BurnSeries going = over;
   going.Add({ 0, 1000 }, kNow);
   BOOST_TEST((SummariseBurn(going, objective, kNow).alert == BurnAlert::Page));
--- a/src/baobab/load/runner.cpp
+++ b/src/baobab/load/runner.cpp
@@ -1,6 +1,7 @@
 #include "baobab/load/runner.hpp"
 
 #include "baobab/core/random.hpp"
+#include "baobab/net/clock.hpp"
 #include "baobab/net/http_client.hpp"
 #include "baobab/net/http_server.hpp"
 #include "baobab/net/worker.hpp"
@@ -88,7 +89,7 @@
         });
       }
       while (this->open > 0) {
-        this->WaitUntil(std::chrono::steady_clock::now() + 5ms);
+        this->WaitUntil(Now() + 5ms);
       }
       this->worker.Stop();
     });
@@ -110,7 +111,7 @@
                        CallerView::Unknown,
                        aArrival.idempotent };
     const TimePoint intended = this->start + aArrival.at;
-    result.lag = std::chrono::steady_clock::now() - intended;
+    result.lag = Now() - intended;
     const Request request = this->RequestFor(aArrival);
     auto client = this->Client(aArrival.address);
     if (!client) {
@@ -123,7 +124,7 @@
         this->pools[aArrival.address].push_back(std::move(client));
       }
     }
-    result.latency = std::chrono::steady_clock::now() - intended;
+    result.latency = Now() - intended;
     return result;
   }
 
@@ -216,7 +217,7 @@
   std::vector<std::unique_ptr<Caller>> callers;
   std::vector<std::thread> threads;
   std::atomic<std::size_t> running{ count };
-  const TimePoint start = std::chrono::steady_clock::now() + 50ms;
+  const TimePoint start = Now() + 50ms;
   for (std::size_t i = 0; i < count; ++i) {
     callers.push_back(std::make_unique<Caller>(aExperiment, shares));
     threads.emplace_back([&, i] {
--- a/src/baobab/net/frame_connection.cpp
+++ b/src/baobab/net/frame_connection.cpp
@@ -1,4 +1,5 @@
 #include "baobab/net/frame_connection.hpp"
+#include "baobab/net/clock.hpp"
 
 #include "baobab/wire/peer_codec.hpp"
 
@@ -47,7 +48,7 @@
     return;
   }
   if (ExpectsAnswer(aMessage) && this->unansweredSince == TimePoint{}) {
-    this->unansweredSince = std::chrono::steady_clock::now();
+    this->unansweredSince = Now();
   }
   AppendFrame(aMessage, this->outgoing);
   if (this->outgoing.size() > kLargestBacklog) {
@@ -161,8 +162,7 @@
 TimePoint
 FrameConnection::UnansweredSince() const
 {
-  return this->unansweredSince == TimePoint{} ? std::chrono::steady_clock::now()
-                                              : this->unansweredSince;
+  return this->unansweredSince == TimePoint{} ? Now() : this->unansweredSince;
 }
 
 }
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -1,10 +1,11 @@
 #include "baobab/net/http_server.hpp"
+#include "baobab/net/clock.hpp"
 
+#include "baobab/net/accept.hpp"
 #include "baobab/net/worker.hpp"
 #include "http_convert.hpp"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/fiber/operations.hpp>
 #include <cctype>
@@ -97,7 +98,7 @@
 private:
   void LimitTo(Duration aTime)
   {
-    this->limit = std::chrono::steady_clock::now() + aTime;
+    this->limit = Now() + aTime;
     this->expired = false;
   }
 
@@ -268,16 +269,13 @@
   constexpr Duration kPeriod = 50ms;
   while (aAcceptor.is_open() || !aConnections->empty()) {
     boost::this_fiber::sleep_for(kPeriod);
-    const TimePoint now = std::chrono::steady_clock::now();
+    const TimePoint now = Now();
     std::ranges::for_each(*aConnections, [&](Connection* aConnection) {
       aConnection->CheckLimit(now);
     });
   }
 }
 
-/// Pause after a failed accept, for example with no descriptor left.
-constexpr Duration kAcceptPause = 20ms;
-
 }
 
 void
@@ -288,25 +286,14 @@
 {
   const auto connections = std::make_shared<Connections>();
   Spawn([connections, &aAcceptor] { RunLimitChecks(connections, aAcceptor); });
-  while (aAcceptor.is_open()) {
-    Tcp::socket socket(aAcceptor.get_executor());
-    const IoResult accepted =
-      Await([&](auto aDone) { aAcceptor.async_accept(socket, aDone); });
-    if (!accepted) {
-      if (accepted.error == boost::asio::error::operation_aborted) {
-        return;
-      }
-      boost::asio::steady_timer pause(aAcceptor.get_executor(), kAcceptPause);
-      Await([&](auto aDone) { pause.async_wait(aDone); });
-      continue;
-    }
+  AcceptConnections(aAcceptor, [&](Tcp::socket aSocket) {
     if (aGate.Full()) {
-      continue;
+      return;
     }
     beast::error_code error;
-    socket.set_option(Tcp::no_delay(true), error);
-    auto connection =
-      std::make_unique<Connection>(std::move(socket), aLimits, aHandler, aGate);
+    aSocket.set_option(Tcp::no_delay(true), error);
+    auto connection = std::make_unique<Connection>(
+      std::move(aSocket), aLimits, aHandler, aGate);
     ++aGate.open;
     connections->insert(connection.get());
     Spawn([connection = std::move(connection), connections, &aGate] {
@@ -314,7 +301,7 @@
       connections->erase(connection.get());
       --aGate.open;
     });
-  }
+  });
 }
 
 std::string_view
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -2,6 +2,7 @@
 
 #include "baobab/core/random.hpp"
 #include "baobab/core/result.hpp"
+#include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
 #include "baobab/net/worker.hpp"
 
@@ -26,19 +27,13 @@
 /// Time in which broken connections are taken for one crash.
 constexpr Duration kCrashWindow = 20ms;
 
-TimePoint
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 /// True if the last report on a connection still says about the same.
 bool
 IsStillTrue(const SenderConnection& aConnection, const LoadReport& aReport)
 {
   const LoadReport& before = aConnection.reported;
-  const int change = (aReport.running + aReport.queued) -
-                     (before.running + before.queued);
+  const int change =
+    (aReport.running + aReport.queued) - (before.running + before.queued);
   return Now() - aConnection.reportedAt < kReportPause &&
          aReport.slots == before.slots &&
          std::abs(change) * kReportedChange <= aReport.slots;
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -1,6 +1,7 @@
 #include "baobab/node/config_agent.hpp"
 
 #include "baobab/decision/rendezvous.hpp"
+#include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
 #include "baobab/net/manifest_json.hpp"
 #include "baobab/net/timeout.hpp"
@@ -31,12 +32,6 @@
 /// Bytes of a reply besides the files.
 constexpr std::size_t kReplyOverhead = 128;
 
-TimePoint
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 }
 
 ConfigAgent::ConfigAgent(boost::asio::io_context& aContext,
--- a/src/baobab/node/control_pacer.cpp
+++ b/src/baobab/node/control_pacer.cpp
@@ -1,4 +1,5 @@
 #include "baobab/node/control_pacer.hpp"
+#include "baobab/net/clock.hpp"
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
@@ -16,8 +17,7 @@
 bool
 ControlPacer::TrySpend(std::size_t aBytes)
 {
-  return this->budget.Charge(static_cast<std::int64_t>(aBytes),
-                             std::chrono::steady_clock::now());
+  return this->budget.Charge(static_cast<std::int64_t>(aBytes), Now());
 }
 
 void
@@ -28,7 +28,7 @@
     std::max<std::int64_t>(1, this->budget.Rate() / kPiecePart);
   while (left > 0) {
     const std::int64_t piece = std::min(left, most);
-    if (this->budget.Charge(piece, std::chrono::steady_clock::now())) {
+    if (this->budget.Charge(piece, Now())) {
       left -= piece;
     } else {
       boost::this_fiber::sleep_for(kPause);
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -1,19 +1,19 @@
 #include "baobab/node/daemon.hpp"
 
+#include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
 #include "baobab/net/worker.hpp"
 #include "baobab/node/admin.hpp"
 #include "baobab/node/call_server.hpp"
 #include "baobab/node/config_agent.hpp"
 #include "baobab/node/gossip_agent.hpp"
-#include "baobab/node/ingress.hpp"
+#include "baobab/node/ingress_pool.hpp"
 #include "baobab/node/metrics.hpp"
 #include "baobab/node/peer_server.hpp"
 #include "baobab/node/route_publisher.hpp"
 #include "baobab/node/status_agent.hpp"
 
 #include <boost/asio/signal_set.hpp>
-#include <boost/fiber/future.hpp>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
 #include <sys/resource.h>
@@ -33,24 +33,6 @@
 
 constexpr std::size_t kAdminConnections = 256;
 
-/// Serves callers on a thread of its own.
-struct IngressWorker
-{
-  explicit IngressWorker(const Settings& aSettings)
-    : gate(static_cast<std::size_t>(aSettings.callerConnections /
-                                    aSettings.workers) +
-           1)
-  {
-  }
-
-  HttpGate gate;
-  std::unique_ptr<Ingress> ingress;
-  HttpHandler handler;
-  std::optional<Tcp::acceptor> acceptor;
-  /// Last, so that its thread ends before what it uses.
-  Worker worker;
-};
-
 /// Start of this process as a number that rises from one start to the next.
 std::uint64_t
 FirstIncarnation()
@@ -100,7 +82,7 @@
     , membership(SelfRecord(aSettings),
                  OptionsOf(aSettings),
                  EntropySeed(),
-                 std::chrono::steady_clock::now())
+                 Now())
     , pacer(aSettings.control.bytesPerSecond)
     , publisher(this->membership,
                 this->quarantine,
@@ -136,6 +118,7 @@
         [this] { return this->Counts(); },
         [this] { return this->config.Generation(); },
         aSettings)
+    , ingress(this->routes, aSettings)
     , adminGate(kAdminConnections)
   {
   }
@@ -173,16 +156,7 @@
     if (auto opened = this->gossip.Open(); !Succeeded(opened)) {
       return opened;
     }
-    for (std::int64_t i = 0; i < this->settings.workers; ++i) {
-      auto worker = std::make_unique<IngressWorker>(this->settings);
-      auto socket = Listen(worker->worker.Context(), this->settings.callers);
-      if (!Succeeded(socket)) {
-        return Failure(socket);
-      }
-      worker->acceptor.emplace(std::move(Value(socket)));
-      this->workers.push_back(std::move(worker));
-    }
-    return Done{};
+    return this->ingress.Open();
   }
 
   void StartControl()
@@ -200,11 +174,6 @@
       this->publisher.MarkChanged();
       this->gossip.Send(this->membership.Push());
     };
-    this->limits.headerBytes =
-      static_cast<std::size_t>(this->settings.headerBytes);
-    this->limits.headerTime = this->settings.timeouts.callerHeader;
-    this->limits.bodyTime = this->settings.timeouts.callerBody;
-    this->limits.idleTime = this->settings.timeouts.callerIdle;
     this->adminHandler = AdminHandler(
       { [this](const TargetAnnouncement& aTarget) { this->Announce(aTarget); },
         [this] { return this->Ready(); },
@@ -224,9 +193,7 @@
                 this->adminHandler,
                 this->adminGate);
     });
-    for (const auto& worker : this->workers) {
-      worker->worker.Start([this, &worker = *worker] { this->Serve(worker); });
-    }
+    this->ingress.Start();
     Log(kChannel,
         LogLevel::Info,
         "started",
@@ -235,29 +202,14 @@
           { "zone", this->settings.locality.zone } });
   }
 
-  /// Serves callers; the worker's thread is an RCU reader for good.
-  void Serve(IngressWorker& aWorker)
-  {
-    static thread_local const RcuThread reader;
-    aWorker.ingress =
-      std::make_unique<Ingress>(aWorker.worker.Context(),
-                                this->routes,
-                                LinkIdentity{ EntropySeed(),
-                                              this->settings.locality.region,
-                                              this->settings.peers.address },
-                                this->settings);
-    aWorker.handler = aWorker.ingress->Handler();
-    ServeHttp(*aWorker.acceptor, this->limits, aWorker.handler, aWorker.gate);
-  }
-
   void RunTimers()
   {
-    TimePoint nextRefresh = std::chrono::steady_clock::now();
+    TimePoint nextRefresh = Now();
     while (true) {
       boost::this_fiber::sleep_for(kTickPeriod);
       this->calls.Tick();
       this->SpreadTargetState();
-      const TimePoint now = std::chrono::steady_clock::now();
+      const TimePoint now = Now();
       if (now >= nextRefresh) {
         nextRefresh = now + kRefreshPeriod;
         this->publisher.Refresh(now);
@@ -309,34 +261,10 @@
 
   bool Ready() const { return this->config.Ready() && !this->draining; }
 
-  /// Calls a function on a worker's thread and waits for its result.
-  template<class F>
-  static auto AskWorker(Worker& aWorker, F aFunction)
-  {
-    using R = decltype(aFunction());
-    auto promise = std::make_shared<boost::fibers::promise<R>>();
-    auto future = promise->get_future();
-    aWorker.Post([promise, aFunction] { promise->set_value(aFunction()); });
-    return future.get();
-  }
-
-  /// Statistics of all workers together.
-  WorkerStats AllStats()
-  {
-    WorkerStats stats;
-    for (const auto& worker : this->workers) {
-      const WorkerStats part = AskWorker(worker->worker, [&worker] {
-        return worker->ingress ? worker->ingress->Stats() : WorkerStats();
-      });
-      MergeStats(stats, part);
-    }
-    return stats;
-  }
-
   CountsSinceStart Counts()
   {
     CountsSinceStart counts;
-    for (const auto& [service, stats] : this->AllStats()) {
+    for (const auto& [service, stats] : this->ingress.Stats()) {
       const auto route = this->RouteOf(service);
       const auto bytes = route ? route->state->measuring.Spent() : 0;
       counts.push_back(
@@ -347,7 +275,7 @@
 
   std::string Metrics()
   {
-    const WorkerStats stats = this->AllStats();
+    const WorkerStats stats = this->ingress.Stats();
     MetricsPage page;
     for (const auto& [service, values] : stats) {
       page.AddService(service, values);
@@ -408,16 +336,6 @@
     add("spill", aRoute.state->spill);
   }
 
-  std::size_t BusyCallers()
-  {
-    std::size_t busy = 0;
-    for (const auto& worker : this->workers) {
-      busy +=
-        AskWorker(worker->worker, [&worker] { return worker->gate.Busy(); });
-    }
-    return busy;
-  }
-
   void Drain()
   {
     if (this->draining) {
@@ -427,18 +345,11 @@
     Log(kChannel, LogLevel::Info, "draining");
     this->calls.StartLeaving();
     this->SpreadTargetState();
-    const TimePoint end =
-      std::chrono::steady_clock::now() + this->settings.timeouts.drain;
+    const TimePoint end = Now() + this->settings.timeouts.drain;
     boost::this_fiber::sleep_for(kGraceTime);
-    for (const auto& worker : this->workers) {
-      AskWorker(worker->worker, [&worker] {
-        worker->acceptor->close();
-        worker->gate.StopKeepAlive();
-        return true;
-      });
-    }
-    while (std::chrono::steady_clock::now() < end &&
-           (this->calls.InFlight() > 0 || this->BusyCallers() > 0)) {
+    this->ingress.StopAccepting();
+    while (Now() < end &&
+           (this->calls.InFlight() > 0 || this->ingress.Busy() > 0)) {
       boost::this_fiber::sleep_for(kDrainCheck);
     }
     boost::this_fiber::sleep_for(kDrainCheck);
@@ -460,12 +371,12 @@
   CallServer calls;
   PeerServer peers;
   StatusAgent status;
+  IngressPool ingress;
   HttpLimits limits;
   HttpHandler adminHandler;
   HttpGate adminGate;
   std::optional<Tcp::acceptor> peerAcceptor;
   std::optional<Tcp::acceptor> adminAcceptor;
-  std::vector<std::unique_ptr<IngressWorker>> workers;
   bool draining = false;
 };
 
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -1,6 +1,7 @@
 #include "baobab/node/gossip_agent.hpp"
 
 #include "baobab/decision/rendezvous.hpp"
+#include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
 #include "baobab/net/manifest_json.hpp"
 #include "baobab/net/worker.hpp"
@@ -43,12 +44,6 @@
 constexpr std::size_t kMembersSent = 32;
 constexpr std::size_t kMemberBytes = 64;
 
-TimePoint
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 }
 
 GossipAgent::GossipAgent(asio::io_context& aContext,
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -2,6 +2,7 @@
 
 #include "baobab/core/result.hpp"
 #include "baobab/decision/quarantine.hpp"
+#include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
 #include "baobab/net/worker.hpp"
 #include "baobab/node/headers.hpp"
@@ -29,12 +30,6 @@
 /// Latencies of the mean after which a hedge starts.
 constexpr double kHedgeFactor = 3;
 
-TimePoint
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 std::string_view
 HostOf(const Request& aRequest)
 {
@@ -245,8 +240,7 @@
   target.load.Began();
   AttemptResult result =
     this->links.To(target.endpoint)
-      ->Run(
-        aCall.request, aCall.idempotent, aCall.deadline, aCancellation);
+      ->Run(aCall.request, aCall.idempotent, aCall.deadline, aCancellation);
   target.load.Ended();
   this->Learn(aCall, target, result, Now() - began);
   return std::move(result.outcome);
@@ -269,8 +263,7 @@
   const auto start = [&](const ChosenTarget& aTarget) {
     Cancellation& cancellation = race->started.emplace_back();
     Spawn([this, race, call, aTarget, &cancellation] {
-      race->outcomes.push_back(
-        this->Attempt(*call, aTarget, &cancellation));
+      race->outcomes.push_back(this->Attempt(*call, aTarget, &cancellation));
       race->changed.Notify();
     });
   };
@@ -346,7 +339,7 @@
                  // A lost link is no sign of a failing target; whether it can
                  // be reached again shows when the link reconnects.
                  if (aUnknown.cause != UnknownCause::LinkLost &&
-            aUnknown.cause != UnknownCause::Cancelled) {
+                     aUnknown.cause != UnknownCause::Cancelled) {
                    aTarget.breaker.Failed(Now());
                  }
                },
--- /dev/null
+++ b/src/baobab/node/ingress_pool.cpp
@@ -0,0 +1,143 @@
+#include "baobab/node/ingress_pool.hpp"
+
+#include "baobab/core/random.hpp"
+#include "baobab/net/worker.hpp"
+#include "baobab/node/ingress.hpp"
+#include "baobab/node/metrics.hpp"
+
+#include <boost/fiber/future.hpp>
+#include <optional>
+
+namespace baobab {
+
+/// Serves callers on a thread of its own.
+struct IngressWorker
+{
+  explicit IngressWorker(std::size_t aMostConnections)
+    : gate(aMostConnections)
+  {
+  }
+
+  HttpGate gate;
+  std::unique_ptr<Ingress> ingress;
+  HttpHandler handler;
+  std::optional<Tcp::acceptor> acceptor;
+  /// Last, so that its thread ends before what it uses.
+  Worker thread;
+};
+
+namespace {
+
+HttpLimits
+LimitsOf(const Settings& aSettings)
+{
+  return { static_cast<std::size_t>(aSettings.headerBytes),
+           aSettings.timeouts.callerHeader,
+           aSettings.timeouts.callerBody,
+           aSettings.timeouts.callerIdle };
+}
+
+/// Calls a function on a worker's thread and waits for its result.
+template<class F>
+auto
+Ask(IngressWorker& aWorker, F aFunction)
+{
+  using R = decltype(aFunction(aWorker));
+  auto promise = std::make_shared<boost::fibers::promise<R>>();
+  auto future = promise->get_future();
+  aWorker.thread.Post(
+    [promise, aFunction, &aWorker] { promise->set_value(aFunction(aWorker)); });
+  return future.get();
+}
+
+}
+
+IngressPool::IngressPool(const RcuCell<RouteTable>& aRoutes,
+                         const Settings& aSettings)
+  : routes(aRoutes)
+  , settings(aSettings)
+  , limits(LimitsOf(aSettings))
+{
+}
+
+IngressPool::~IngressPool() = default;
+
+Result<Done>
+IngressPool::Open()
+{
+  const auto share = static_cast<std::size_t>(
+    this->settings.callerConnections / this->settings.workers + 1);
+  for (std::int64_t i = 0; i < this->settings.workers; ++i) {
+    auto worker = std::make_unique<IngressWorker>(share);
+    auto socket = Listen(worker->thread.Context(), this->settings.callers);
+    if (!Succeeded(socket)) {
+      return Failure(socket);
+    }
+    worker->acceptor.emplace(std::move(Value(socket)));
+    this->workers.push_back(std::move(worker));
+  }
+  return Done{};
+}
+
+void
+IngressPool::Start()
+{
+  for (const auto& worker : this->workers) {
+    worker->thread.Start([this, &worker = *worker] { this->Serve(worker); });
+  }
+}
+
+void
+IngressPool::Serve(IngressWorker& aWorker)
+{
+  // The thread stays a reader for good; fibers come and go.
+  static thread_local const RcuThread reader;
+  aWorker.ingress =
+    std::make_unique<Ingress>(aWorker.thread.Context(),
+                              this->routes,
+                              LinkIdentity{ EntropySeed(),
+                                            this->settings.locality.region,
+                                            this->settings.peers.address },
+                              this->settings);
+  aWorker.handler = aWorker.ingress->Handler();
+  ServeHttp(*aWorker.acceptor, this->limits, aWorker.handler, aWorker.gate);
+}
+
+WorkerStats
+IngressPool::Stats()
+{
+  WorkerStats stats;
+  for (const auto& worker : this->workers) {
+    MergeStats(stats, Ask(*worker, [](const IngressWorker& aWorker) {
+                 return aWorker.ingress ? aWorker.ingress->Stats()
+                                        : WorkerStats();
+               }));
+  }
+  return stats;
+}
+
+std::size_t
+IngressPool::Busy()
+{
+  std::size_t busy = 0;
+  for (const auto& worker : this->workers) {
+    busy += Ask(*worker, [](const IngressWorker& aWorker) {
+      return aWorker.gate.Busy();
+    });
+  }
+  return busy;
+}
+
+void
+IngressPool::StopAccepting()
+{
+  for (const auto& worker : this->workers) {
+    Ask(*worker, [](IngressWorker& aWorker) {
+      aWorker.acceptor->close();
+      aWorker.gate.StopKeepAlive();
+      return true;
+    });
+  }
+}
+
+}
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "baobab/node/peer_link.hpp"
 
 #include "baobab/core/result.hpp"
+#include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
 #include "baobab/net/worker.hpp"
 
@@ -21,12 +22,6 @@
 /// Heartbeats that are left out while a link has no calls in flight.
 constexpr unsigned kIdleBeats = 8;
 
-TimePoint
-Now()
-{
-  return std::chrono::steady_clock::now();
-}
-
 }
 
 PeerLink::PeerLink(boost::asio::io_context& aContext,
--- a/src/baobab/node/peer_server.cpp
+++ b/src/baobab/node/peer_server.cpp
@@ -1,36 +1,24 @@
 #include "baobab/node/peer_server.hpp"
 
 #include "baobab/core/result.hpp"
+#include "baobab/net/accept.hpp"
 #include "baobab/net/log.hpp"
 #include "baobab/net/worker.hpp"
 
-#include <boost/fiber/operations.hpp>
-
 namespace baobab {
 namespace {
 
 constexpr std::string_view kChannel = "peers";
-constexpr Duration kAcceptPause = 20ms;
 
 }
 
 void
 PeerServer::Serve(Tcp::acceptor& aAcceptor)
 {
-  while (aAcceptor.is_open()) {
-    Tcp::socket socket(aAcceptor.get_executor());
-    const IoResult accepted =
-      Await([&](auto aDone) { aAcceptor.async_accept(socket, aDone); });
-    if (!accepted) {
-      if (accepted.error == boost::asio::error::operation_aborted) {
-        return;
-      }
-      boost::this_fiber::sleep_for(kAcceptPause);
-      continue;
-    }
-    auto frames = std::make_shared<FrameConnection>(std::move(socket));
+  AcceptConnections(aAcceptor, [this](Tcp::socket aSocket) {
+    auto frames = std::make_shared<FrameConnection>(std::move(aSocket));
     Spawn([this, frames] { this->ServeConnection(frames); });
-  }
+  });
 }
 
 void
--- a/src/baobab/node/route_publisher.cpp
+++ b/src/baobab/node/route_publisher.cpp
@@ -1,4 +1,5 @@
 #include "baobab/node/route_publisher.hpp"
+#include "baobab/net/clock.hpp"
 
 #include <algorithm>
 
@@ -22,7 +23,7 @@
 {
   this->configuration = std::move(aConfiguration);
   this->changed = true;
-  this->Refresh(std::chrono::steady_clock::now());
+  this->Refresh(Now());
 }
 
 void
--- a/src/baobab/node/status_agent_test.cpp
+++ b/src/baobab/node/status_agent_test.cpp
@@ -15,8 +15,7 @@
                                    { "c", { 1, 0, 0, 0, 0 }, 0 } };
   const CountsSinceStart interval = Difference(before, after);
   BOOST_REQUIRE(interval.size() == 2U);
-  BOOST_TEST(
-    (interval[0] == ServiceCounts{ "a", { 4, 1, 0, 0, 0 }, 60 }));
+  BOOST_TEST((interval[0] == ServiceCounts{ "a", { 4, 1, 0, 0, 0 }, 60 }));
   BurnReport report;
   AddCounts(report, interval);
   AddCounts(report, interval);
--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -1,5 +1,6 @@
 #include "baobab/node/target_client.hpp"
 
+#include "baobab/net/clock.hpp"
 #include "baobab/net/http_server.hpp"
 #include "baobab/node/headers.hpp"
 
@@ -48,14 +49,13 @@
 {
   if (aCall.idempotent) {
     if (auto pooled = this->TakePooled()) {
-      TargetResult result =
-        this->Exchange(aCall, std::move(pooled), aControl);
+      TargetResult result = this->Exchange(aCall, std::move(pooled), aControl);
       if (!result.broken || aControl.cancelled) {
         return result;
       }
     }
   }
-  const Duration left = aCall.deadline - std::chrono::steady_clock::now();
+  const Duration left = aCall.deadline - Now();
   auto opened =
     HttpClient::Open(this->context,
                      this->endpoint,
@@ -92,7 +92,7 @@
                        std::unique_ptr<HttpClient> aClient,
                        TargetControl& aControl)
 {
-  const Duration left = aCall.deadline - std::chrono::steady_clock::now();
+  const Duration left = aCall.deadline - Now();
   if (left <= Duration::zero()) {
     return { NotRun{ RefusalReason::Expired, "the deadline passed" } };
   }
@@ -130,8 +130,7 @@
 TargetClient::Prepare(const TargetCall& aCall) const
 {
   Request request = aCall.request;
-  const auto left = std::chrono::duration_cast<Millis>(
-    aCall.deadline - std::chrono::steady_clock::now());
+  const auto left = std::chrono::duration_cast<Millis>(aCall.deadline - Now());
   request.headers.push_back({ std::string(kCallHeader), ToString(aCall.id) });
   request.headers.push_back(
     { std::string(kDeadlineHeader),
--- a/src/baobab/report/burn_html.cpp
+++ b/src/baobab/report/burn_html.cpp
@@ -47,19 +47,18 @@
     most = std::max(most, count.Total());
   }
   const std::int64_t last = aNow / level.width;
-  const double step = static_cast<double>(kPlotWidth) /
-                      static_cast<double>(level.kept);
+  const double step =
+    static_cast<double>(kPlotWidth) / static_cast<double>(level.kept);
   std::string bars;
   const auto bar = [&](double aX, std::uint64_t aCount, const char* aColour) {
-    const double height = kPlotHeight * static_cast<double>(aCount) /
-                          static_cast<double>(most);
+    const double height =
+      kPlotHeight * static_cast<double>(aCount) / static_cast<double>(most);
     bars += "<rect x=\"" + Number(aX) + "\" y=\"" +
             Number(kPlotHeight - height) + "\" width=\"" + Number(step * 0.8) +
             "\" height=\"" + Number(height) + "\" fill=\"" + aColour + "\"/>";
   };
   for (const auto& [number, count] : buckets) {
-    const double x =
-      static_cast<double>(number - last + level.kept - 1) * step;
+    const double x = static_cast<double>(number - last + level.kept - 1) * step;
     bar(x, count.Total(), "#8fb9a8");
     bar(x, count.bad, "#a4161a");
   }
--- a/src/baobab/report/burn_page.cpp
+++ b/src/baobab/report/burn_page.cpp
@@ -36,8 +36,7 @@
         service.status.targets[state] += count;
       }
     }
-    service.burn =
-      SummariseBurn(service.status.series, spec.objective, aNow);
+    service.burn = SummariseBurn(service.status.series, spec.objective, aNow);
     page.services.push_back(std::move(service));
   }
   return page;
--- a/src/baobab/report/burn_table.cpp
+++ b/src/baobab/report/burn_table.cpp
@@ -47,9 +47,10 @@
                    static_cast<unsigned long long>(calls[i]),
                    std::string(Name(static_cast<CallClass>(i))).c_str());
   }
-  rows += Format("; measuring %llu bytes (%lld bytes/s allowed); targets: ",
-                 static_cast<unsigned long long>(aService.status.measuringBytes),
-                 static_cast<long long>(aService.spec.measuring.bytesPerSecond));
+  rows +=
+    Format("; measuring %llu bytes (%lld bytes/s allowed); targets: ",
+           static_cast<unsigned long long>(aService.status.measuringBytes),
+           static_cast<long long>(aService.spec.measuring.bytesPerSecond));
   rows += TargetsText(aService.status) + "\n";
   const std::string remedy = RemedyFor(aService);
   if (!remedy.empty()) {
--- a/src/baobab/wire/codec_test.cpp
+++ b/src/baobab/wire/codec_test.cpp
@@ -125,7 +125,9 @@
   BOOST_TEST((got.refusal.reason == RefusalReason::Leaving));
   BOOST_TEST(got.refusal.retried);
   BOOST_TEST((got.load == LoadReport{ 3, 4, 20 }));
-  const BurnReportMessage burn{ { 1, 2, 3, { { "q", { 1, 2, 3, 4, 5 }, 6 } } } };
+  const BurnReportMessage burn{
+    { 1, 2, 3, { { "q", { 1, 2, 3, 4, 5 }, 6 } } }
+  };
   const auto report = DecodeFrame(Aligned(Payload(burn)).Span());
   BOOST_REQUIRE(Succeeded(report));
   BOOST_TEST(
--- a/src/baobab/wire/peer_codec.cpp
+++ b/src/baobab/wire/peer_codec.cpp
@@ -295,17 +295,16 @@
     const auto name = aBuilder.CreateString(counts.service);
     const auto calls =
       aBuilder.CreateVector(counts.calls.data(), counts.calls.size());
-    services.push_back(fb::CreateServiceCounts(
-      aBuilder, name, calls, counts.measuringBytes));
+    services.push_back(
+      fb::CreateServiceCounts(aBuilder, name, calls, counts.measuringBytes));
   }
   const auto list = aBuilder.CreateVector(services);
-  return { fb::Body::BurnReport,
-           fb::CreateBurnReport(aBuilder,
-                                report.reporter,
-                                report.sequence,
-                                report.generation,
-                                list)
-             .Union() };
+  return {
+    fb::Body::BurnReport,
+    fb::CreateBurnReport(
+      aBuilder, report.reporter, report.sequence, report.generation, list)
+      .Union()
+  };
 }
 
 Encoded
--- a/src/bin/baobab_publish.cpp
+++ b/src/bin/baobab_publish.cpp
@@ -1,10 +1,9 @@
 /// @file
 /// Checks service files and publishes them.
 #include "baobab/core/service.hpp"
-#include "baobab/net/http_store.hpp"
 #include "baobab/net/publish.hpp"
-#include "baobab/net/worker.hpp"
 #include "command_line.hpp"
+#include "store_program.hpp"
 
 #include <algorithm>
 #include <filesystem>
@@ -180,19 +179,9 @@
     std::cout << files->size() << " files are valid\n";
     return 0;
   }
-  const auto endpoint = ParseEndpoint(FLAGS_store);
-  if (!Succeeded(endpoint)) {
-    std::cerr << "--store: " << Describe(Failure(endpoint)) << "\n";
-    return kExitUsage;
-  }
-  int code = 0;
-  Worker worker;
-  worker.RunHere([&] {
-    HttpStore store(worker.Context(), Value(endpoint), kStoreTime);
-    code = FLAGS_diff ? ShowDiff(store, *files) : PublishFiles(store, *files);
-    worker.Stop();
+  return RunWithStore(FLAGS_store, kStoreTime, [&](HttpStore& aStore) {
+    return FLAGS_diff ? ShowDiff(aStore, *files) : PublishFiles(aStore, *files);
   });
-  return code;
 }
 
 }
--- a/src/bin/baobab_report.cpp
+++ b/src/bin/baobab_report.cpp
@@ -1,11 +1,10 @@
 /// @file
 /// Shows the service-level burn.
-#include "baobab/net/http_store.hpp"
 #include "baobab/net/publish.hpp"
 #include "baobab/net/status_json.hpp"
-#include "baobab/net/worker.hpp"
 #include "baobab/report/burn_page.hpp"
 #include "command_line.hpp"
+#include "store_program.hpp"
 
 #include <gflags/gflags.h>
 #include <iostream>
@@ -93,10 +92,8 @@
   }
   const auto now = std::chrono::duration_cast<StatusTime>(
     std::chrono::system_clock::now().time_since_epoch());
-  return BuildBurnPage(Value(services),
-                       Value(zones),
-                       Value(manifest).manifest.generation,
-                       now);
+  return BuildBurnPage(
+    Value(services), Value(zones), Value(manifest).manifest.generation, now);
 }
 
 int
@@ -115,25 +112,14 @@
 int
 Run()
 {
-  const auto endpoint = ParseEndpoint(FLAGS_store);
-  if (!Succeeded(endpoint)) {
-    std::cerr << "--store: " << Describe(Failure(endpoint)) << "\n";
-    return kExitUsage;
-  }
-  int code = 0;
-  Worker worker;
-  worker.RunHere([&] {
-    HttpStore store(worker.Context(), Value(endpoint), kStoreTime);
-    const auto page = ReadPage(store);
-    if (Succeeded(page)) {
-      code = Show(Value(page));
-    } else {
+  return RunWithStore(FLAGS_store, kStoreTime, [](HttpStore& aStore) {
+    const auto page = ReadPage(aStore);
+    if (!Succeeded(page)) {
       std::cerr << Describe(Failure(page)) << "\n";
-      code = kExitUnavailable;
+      return kExitUnavailable;
     }
-    worker.Stop();
+    return Show(Value(page));
   });
-  return code;
 }
 
 }
@@ -142,8 +128,7 @@
 int
 main(int aCount, char** aArguments)
 {
-  baobab::ParseCommandLine(
-    baobab::kUsage, BAOBAB_VERSION, aCount, aArguments);
+  baobab::ParseCommandLine(baobab::kUsage, BAOBAB_VERSION, aCount, aArguments);
   const int code = baobab::Run();
   std::cout.flush();
   std::_Exit(code);
--- a/testing/fault_proxy.cpp
+++ b/testing/fault_proxy.cpp
@@ -1,15 +1,11 @@
 /// @file
 /// TCP and UDP proxy that injects faults between daemons: delay, bandwidth,
 /// resets, silent connections while new ones work, and cuts by source.
-#include "baobab/core/endpoint.hpp"
-#include "baobab/net/http_server.hpp"
-#include "baobab/net/log.hpp"
-#include "baobab/net/socket.hpp"
-#include "baobab/net/worker.hpp"
+#include "baobab/net/accept.hpp"
+#include "standin.hpp"
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
@@ -58,8 +54,8 @@
 public:
   explicit Proxy(asio::io_context& aContext)
     : context(aContext)
-    , listen(Value(ParseEndpoint(FLAGS_listen)))
-    , target(Value(ParseEndpoint(FLAGS_to)))
+    , listen(RequireEndpoint(FLAGS_listen))
+    , target(RequireEndpoint(FLAGS_to))
     , datagrams(aContext, ToUdp(listen))
   {
   }
@@ -71,14 +67,11 @@
       Log("proxy", LogLevel::Error, Describe(Failure(acceptor)));
       std::_Exit(2);
     }
-    while (true) {
+    AcceptConnections(Value(acceptor), [this](Tcp::socket aSocket) {
       auto pair = std::make_shared<Pair>(this->context);
-      const IoResult accepted = Await(
-        [&](auto aDone) { Value(acceptor).async_accept(pair->client, aDone); });
-      if (accepted) {
-        Spawn([this, pair] { this->Open(pair); });
-      }
-    }
+      pair->client = std::move(aSocket);
+      Spawn([this, pair] { this->Open(pair); });
+    });
   }
 
   void RelayDatagrams()
@@ -242,24 +235,18 @@
 void
 Run()
 {
+  constexpr std::size_t kBodyBytes = 65536;
   Worker worker;
-  asio::signal_set signals(worker.Context(), SIGTERM, SIGINT);
-  signals.async_wait([&](auto, int) { worker.Stop(); });
   Proxy proxy(worker.Context());
-  const HttpHandler handler{
-    [](const HttpHead&) { return std::size_t{ 65536 }; },
+  RunStandIn(
+    worker,
+    RequireEndpoint(FLAGS_control),
+    kBodyBytes,
     [&](Request&& aRequest) { return proxy.Control(aRequest); },
-    [](HttpFault) { return TextResponse(400, "bad request\n"); },
-  };
-  const HttpLimits limits;
-  HttpGate gate(64);
-  worker.RunHere([&] {
-    auto control =
-      Listen(worker.Context(), Value(ParseEndpoint(FLAGS_control)));
-    Spawn([&] { proxy.AcceptForever(); });
-    Spawn([&] { proxy.RelayDatagrams(); });
-    ServeHttp(Value(control), limits, handler, gate);
-  });
+    [&] {
+      Spawn([&] { proxy.AcceptForever(); });
+      Spawn([&] { proxy.RelayDatagrams(); });
+    });
 }
 
 }
--- /dev/null
+++ b/testing/standin.hpp
@@ -0,0 +1,60 @@
+/// @file
+/// What the stand-ins share: an HTTP server that runs until it is stopped.
+#pragma once
+
+#include "baobab/core/endpoint.hpp"
+#include "baobab/net/http_server.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/worker.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <functional>
+#include <string>
+
+namespace baobab {
+
+/// Parses an endpoint of the command line; ends the process if it is none.
+inline Endpoint
+RequireEndpoint(const std::string& aText)
+{
+  const auto endpoint = ParseEndpoint(aText);
+  if (!Succeeded(endpoint)) {
+    Log("standin", LogLevel::Error, Describe(Failure(endpoint)));
+    std::_Exit(2);
+  }
+  return Value(endpoint);
+}
+
+/// Serves HTTP on an address until SIGTERM or SIGINT.
+/// @param aBodyBytes largest request body
+/// @param aAnswer answers a request
+/// @param aStart runs first, on a fiber of the server's thread
+inline void
+RunStandIn(Worker& aWorker,
+           const Endpoint& aEndpoint,
+           std::size_t aBodyBytes,
+           std::function<Response(Request&&)> aAnswer,
+           const std::function<void()>& aStart)
+{
+  constexpr std::size_t kConnections = 100000;
+  boost::asio::signal_set signals(aWorker.Context(), SIGTERM, SIGINT);
+  signals.async_wait([&](auto, int) { aWorker.Stop(); });
+  const HttpHandler handler{
+    [&](const HttpHead&) { return aBodyBytes; },
+    std::move(aAnswer),
+    [](HttpFault) { return TextResponse(400, "bad request\n"); },
+  };
+  const HttpLimits limits{ 65536, 60s, 60s, 600s };
+  HttpGate gate(kConnections);
+  aWorker.RunHere([&] {
+    auto acceptor = Listen(aWorker.Context(), aEndpoint);
+    if (!Succeeded(acceptor)) {
+      Log("standin", LogLevel::Error, Describe(Failure(acceptor)));
+      std::_Exit(2);
+    }
+    aStart();
+    ServeHttp(Value(acceptor), limits, handler, gate);
+  });
+}
+
+}
--- a/testing/store_standin.cpp
+++ b/testing/store_standin.cpp
@@ -1,13 +1,8 @@
 /// @file
 /// Stand-in for the platform's object store: versions as ETags, conditional
 /// writes, long-poll watches, and faults on demand.
-#include "baobab/core/endpoint.hpp"
-#include "baobab/net/http_server.hpp"
-#include "baobab/net/log.hpp"
-#include "baobab/net/signal.hpp"
-#include "baobab/net/worker.hpp"
+#include "standin.hpp"
 
-#include <boost/asio/signal_set.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
 #include <gflags/gflags.h>
@@ -201,34 +196,17 @@
   Calls calls;
 };
 
-int
+void
 Run()
 {
-  const auto endpoint = ParseEndpoint(FLAGS_listen);
-  if (!Succeeded(endpoint)) {
-    Log("store", LogLevel::Error, Describe(Failure(endpoint)));
-    return 2;
-  }
   Worker worker;
-  boost::asio::signal_set signals(worker.Context(), SIGTERM, SIGINT);
-  signals.async_wait([&](auto, int) { worker.Stop(); });
   Store store;
-  const HttpHandler handler{
-    [](const HttpHead&) { return 2 * kLargestValue; },
+  RunStandIn(
+    worker,
+    RequireEndpoint(FLAGS_listen),
+    2 * kLargestValue,
     [&](Request&& aRequest) { return store.Answer(std::move(aRequest)); },
-    [](HttpFault) { return TextResponse(400, "bad request\n"); },
-  };
-  const HttpLimits limits{ 16384, 60s, 60s, 600s };
-  HttpGate gate(100000);
-  worker.RunHere([&] {
-    auto acceptor = Listen(worker.Context(), Value(endpoint));
-    if (!Succeeded(acceptor)) {
-      Log("store", LogLevel::Error, Describe(Failure(acceptor)));
-      std::_Exit(2);
-    }
-    ServeHttp(Value(acceptor), limits, handler, gate);
-  });
-  return 0;
+    [] {});
 }
 
 }
@@ -239,5 +217,6 @@
 {
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   baobab::InitLog("text", "info");
-  std::_Exit(baobab::Run());
+  baobab::Run();
+  std::_Exit(0);
 }
--- a/testing/target_standin.cpp
+++ b/testing/target_standin.cpp
@@ -1,14 +1,10 @@
 /// @file
 /// Stand-in for a target: slots, service times, drain, cold start, crash on a
 /// marked request, lying load, and a record of what it ran.
-#include "baobab/core/endpoint.hpp"
 #include "baobab/core/random.hpp"
 #include "baobab/net/http_client.hpp"
-#include "baobab/net/http_server.hpp"
-#include "baobab/net/log.hpp"
-#include "baobab/net/worker.hpp"
+#include "standin.hpp"
 
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
@@ -176,9 +172,8 @@
 
   void Announce()
   {
-    const auto daemon = ParseEndpoint(FLAGS_daemon);
     if (!this->client || !this->client->Reusable()) {
-      auto opened = HttpClient::Open(this->context, Value(daemon), 1s);
+      auto opened = HttpClient::Open(this->context, this->daemon, 1s);
       if (!Succeeded(opened)) {
         return;
       }
@@ -200,6 +195,7 @@
   }
 
   boost::asio::io_context& context;
+  Endpoint daemon = RequireEndpoint(FLAGS_daemon);
   Record record;
   SplitMix random;
   std::unique_ptr<HttpClient> client;
@@ -209,36 +205,18 @@
   int running = 0;
 };
 
-int
+void
 Run()
 {
-  const auto endpoint = ParseEndpoint(FLAGS_listen);
-  const auto daemon = ParseEndpoint(FLAGS_daemon);
-  if (!Succeeded(endpoint) || !Succeeded(daemon)) {
-    Log("target", LogLevel::Error, "--listen or --daemon is no endpoint");
-    return 2;
-  }
+  constexpr std::size_t kBodyBytes = 64U << 20U;
   Worker worker;
-  boost::asio::signal_set signals(worker.Context(), SIGTERM, SIGINT);
-  signals.async_wait([&](auto, int) { worker.Stop(); });
   Target target(worker.Context());
-  const HttpHandler handler{
-    [](const HttpHead&) { return std::size_t{ 64 } << 20U; },
+  RunStandIn(
+    worker,
+    RequireEndpoint(FLAGS_listen),
+    kBodyBytes,
     [&](Request&& aRequest) { return target.Answer(std::move(aRequest)); },
-    [](HttpFault) { return TextResponse(400, "bad request\n"); },
-  };
-  const HttpLimits limits{ 65536, 60s, 60s, 600s };
-  HttpGate gate(100000);
-  worker.RunHere([&] {
-    auto acceptor = Listen(worker.Context(), Value(endpoint));
-    if (!Succeeded(acceptor)) {
-      Log("target", LogLevel::Error, Describe(Failure(acceptor)));
-      std::_Exit(2);
-    }
-    Spawn([&] { target.AnnounceForever(); });
-    ServeHttp(Value(acceptor), limits, handler, gate);
-  });
-  return 0;
+    [&] { Spawn([&] { target.AnnounceForever(); }); });
 }
 
 }
@@ -249,5 +227,6 @@
 {
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   baobab::InitLog("text", "info");
-  std::_Exit(baobab::Run());
+  baobab::Run();
+  std::_Exit(0);
 }
