Status objects of a full zone stay below a megabyte

Cause: worked out for 290 services, a zone's status with 222 buckets of 25 bytes came to 1.6 MB, above what the store holds. Change: a level is the number of its first bucket followed by its counts, and minutes are kept for ten minutes only. Before: 1.6 MB worked out. Help texts name no machine paths.

--- a/cmake/baobab_options.cmake
+++ b/cmake/baobab_options.cmake
@@ -9,6 +9,8 @@
 set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O2 -g1 -DNDEBUG")
 option(BAOBAB_SANITIZE "Build with AddressSanitizer and UBSan" OFF)
 
+# Help texts and logs name sources relative to the tree.
+add_compile_options(-ffile-prefix-map=${CMAKE_SOURCE_DIR}/=)
 add_compile_options(-Wall -Wextra -Werror -Wno-missing-field-initializers)
 if(BAOBAB_SANITIZE)
   add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=all
--- a/include/baobab/decision/burn_series.hpp
+++ b/include/baobab/decision/burn_series.hpp
@@ -34,7 +34,7 @@
 {
 public:
   static constexpr std::array<BurnLevel, 4> kLevels = { {
-    { std::chrono::minutes(1), 60 },
+    { std::chrono::minutes(1), 10 },
     { std::chrono::minutes(10), 36 },
     { std::chrono::hours(2), 36 },
     { std::chrono::hours(24), 90 },
--- a/src/baobab/net/status_json.cpp
+++ b/src/baobab/net/status_json.cpp
@@ -7,12 +7,38 @@
 
 namespace json = boost::json;
 
+/// Encodes a level as the number of its first bucket, followed by good and bad
+/// calls of that and each later one. This keeps the status of a large zone
+/// below the size of an object.
 json::array
 EncodeBuckets(const BurnSeries::Buckets& aBuckets)
 {
-  json::array buckets;
+  json::array encoded;
+  if (aBuckets.empty()) {
+    return encoded;
+  }
+  const std::int64_t first = aBuckets.begin()->first;
+  encoded.push_back(first);
   for (const auto& [number, count] : aBuckets) {
-    buckets.push_back(json::array{ number, count.good, count.bad });
+    const auto gap = 2 * static_cast<std::size_t>(number - first) + 1;
+    encoded.resize(gap, 0);
+    encoded.push_back(count.good);
+    encoded.push_back(count.bad);
+  }
+  return encoded;
+}
+
+BurnSeries::Buckets
+DecodeBuckets(const json::array& aEncoded)
+{
+  BurnSeries::Buckets buckets;
+  for (std::size_t i = 1; i + 1 < aEncoded.size(); i += 2) {
+    const BurnCount count{ aEncoded[i].to_number<std::uint64_t>(),
+                           aEncoded[i + 1].to_number<std::uint64_t>() };
+    if (count.Total() > 0) {
+      const auto offset = static_cast<std::int64_t>(i / 2);
+      buckets[aEncoded[0].to_number<std::int64_t>() + offset] = count;
+    }
   }
   return buckets;
 }
@@ -46,13 +72,7 @@
     aObject.at("measuring_bytes").to_number<std::uint64_t>();
   const json::array& levels = aObject.at("levels").as_array();
   for (std::size_t i = 0; i < service.series.levels.size(); ++i) {
-    for (const json::value& item : levels.at(i).as_array()) {
-      const json::array& bucket = item.as_array();
-      service.series.levels[i][bucket.at(0).to_number<std::int64_t>()] = {
-        bucket.at(1).to_number<std::uint64_t>(),
-        bucket.at(2).to_number<std::uint64_t>()
-      };
-    }
+    service.series.levels[i] = DecodeBuckets(levels.at(i).as_array());
   }
   for (const auto& [state, count] : aObject.at("targets").as_object()) {
     service.targets[std::string(state)] = count.to_number<std::uint64_t>();
--- a/src/baobab/report/burn_html.cpp
+++ b/src/baobab/report/burn_html.cpp
@@ -36,12 +36,12 @@
   return "<td>" + aText + "</td>";
 }
 
-/// Bad calls per minute over the last hour, as bars.
+/// Calls of the last six hours by ten minutes, as bars.
 std::string
 Plot(const BurnSeries& aSeries, StatusTime aNow)
 {
-  const BurnLevel& level = BurnSeries::kLevels[0];
-  const BurnSeries::Buckets& buckets = aSeries.levels[0];
+  const BurnLevel& level = BurnSeries::kLevels[1];
+  const BurnSeries::Buckets& buckets = aSeries.levels[1];
   std::uint64_t most = 1;
   for (const auto& [number, count] : buckets) {
     most = std::max(most, count.Total());
@@ -64,7 +64,7 @@
   }
   return "<svg width=\"" + std::to_string(kPlotWidth) + "\" height=\"" +
          std::to_string(kPlotHeight) +
-         "\" role=\"img\" aria-label=\"calls per minute, bad ones in red\">" +
+         "\" role=\"img\" aria-label=\"calls by ten minutes, bad ones in red\">" +
          bars + "</svg>";
 }
 
@@ -91,7 +91,7 @@
   }
   return "<h2>" + aService.spec.name + "</h2>" +
          Plot(aService.status.series, aNow) + "<p class=\"note\">" + counts +
-         "; calls per minute over the last hour, bad ones in red</p>";
+         "; calls by ten minutes over six hours, bad ones in red</p>";
 }
 
 }
