--- a/src/baobab/report/burn_html.cpp
+++ b/src/baobab/report/burn_html.cpp
@@ -64,7 +64,8 @@
   }
   return "<svg width=\"" + std::to_string(kPlotWidth) + "\" height=\"" +
          std::to_string(kPlotHeight) +
-         "\" role=\"img\" aria-label=\"calls by ten minutes, bad ones in red\">" +
+         "\" role=\"img\" aria-label=\"calls by ten minutes, bad ones in "
+         "red\">" +
          bars + "</svg>";
 }
 
