--- a/testing/capacity_bench.cpp
+++ b/testing/capacity_bench.cpp
@@ -74,8 +74,11 @@
   ConfigDelta delta{ 0, 1, {}, {} };
   for (int i = 0; i < FLAGS_services; ++i) {
     const std::string name = "service-" + std::to_string(i);
-    const std::string text =
-      "name = '" + name + "'\nrevision = 1\nhosts = ['" + name + ".example']\n";
+    std::string text = "name = '";
+    text += name;
+    text += "'\nrevision = 1\nhosts = ['";
+    text += name;
+    text += ".example']\n";
     delta.entries.push_back({ name, 1, ContentHash(text), 1 });
     delta.texts.push_back(text);
   }
