Read again: no copy of the service spec for each call, one conversion of times

The admission side copied a whole service file for every call that it ran; it refers to it now. The conversion of time points and the Host header without its port stood twice; a member of a running call and one of the routing table were never read. Behaviour stays as it was: decision, node and net tests and the http, targets and quarantine integration tests pass.

--- a/include/baobab/core/time.hpp
+++ b/include/baobab/core/time.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <cstdint>
 
 namespace baobab {
 
@@ -15,6 +16,13 @@
 using Millis = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
 
+/// Nanoseconds of a time point, for times that are kept in atomics.
+constexpr std::int64_t
+Nanos(TimePoint aTime)
+{
+  return aTime.time_since_epoch() / 1ns;
+}
+
 /// A source of monotonic time.
 template<class T>
 concept Clock = requires {
--- a/include/baobab/net/http_server.hpp
+++ b/include/baobab/net/http_server.hpp
@@ -90,6 +90,9 @@
 std::string_view FindHeader(const std::vector<HeaderField>& aHeaders,
                             std::string_view aName);
 
+/// Returns a Host header's value without its port.
+std::string_view WithoutPort(std::string_view aHost);
+
 /// Returns a response with a text body.
 Response TextResponse(unsigned aStatus,
                       std::string aBody,
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -83,7 +83,6 @@
 
   struct Running
   {
-    Fingerprint fingerprint = 0;
     bool suspect = false;
     TargetControl control;
   };
--- a/include/baobab/node/route_table.hpp
+++ b/include/baobab/node/route_table.hpp
@@ -60,7 +60,6 @@
   std::vector<std::shared_ptr<const ServiceRoute>> routes;
   /// Requests under suspicion, sorted.
   std::vector<std::uint64_t> suspects;
-  std::uint64_t generation = 0;
 
 private:
   friend class RouteBuilder;
--- a/src/baobab/decision/breaker.cpp
+++ b/src/baobab/decision/breaker.cpp
@@ -1,16 +1,6 @@
 #include "baobab/decision/breaker.hpp"
 
 namespace baobab {
-namespace {
-
-std::int64_t
-Nanos(TimePoint aTime)
-{
-  return aTime.time_since_epoch() / 1ns;
-}
-
-}
-
 bool
 Breaker::IsOpen(TimePoint aNow) const
 {
--- a/src/baobab/decision/byte_budget.cpp
+++ b/src/baobab/decision/byte_budget.cpp
@@ -29,16 +29,16 @@
   if (aBytes > burst || flow <= 0) {
     return aBytes == 0;
   }
-  const auto nanos = [&](std::int64_t aCount) {
+  const auto timeFor = [&](std::int64_t aCount) {
     return static_cast<std::int64_t>(static_cast<double>(aCount) * 1e9 /
                                      static_cast<double>(flow)) +
            1;
   };
-  const std::int64_t now = aNow.time_since_epoch() / 1ns;
+  const std::int64_t now = Nanos(aNow);
   std::int64_t used = this->usedUntil.load(std::memory_order_relaxed);
   while (true) {
-    const std::int64_t next = std::max(used, now) + nanos(aBytes);
-    if (next - now > nanos(burst)) {
+    const std::int64_t next = std::max(used, now) + timeFor(aBytes);
+    if (next - now > timeFor(burst)) {
       return false;
     }
     if (this->usedUntil.compare_exchange_weak(
--- a/src/baobab/decision/target_load.cpp
+++ b/src/baobab/decision/target_load.cpp
@@ -13,12 +13,6 @@
 
 constexpr std::int64_t kLatencySpan = 8;
 
-std::int64_t
-Nanos(TimePoint aTime)
-{
-  return aTime.time_since_epoch() / 1ns;
-}
-
 /// Weight of a value of this age: 1 when new, 1/2 at the half-life.
 double
 Weight(std::int64_t aFrom, TimePoint aNow, Duration aHalfLife)
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -32,12 +32,6 @@
   return { aText.data(), aText.size() };
 }
 
-std::string_view
-WithoutPort(std::string_view aHost)
-{
-  return aHost.substr(0, aHost.find(':'));
-}
-
 HttpFault
 FaultOf(const beast::error_code& aError)
 {
@@ -314,6 +308,12 @@
   return found == aHeaders.end() ? std::string_view() : found->value;
 }
 
+std::string_view
+WithoutPort(std::string_view aHost)
+{
+  return aHost.substr(0, aHost.find(':'));
+}
+
 Response
 TextResponse(unsigned aStatus, std::string aBody, std::string_view aType)
 {
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -283,9 +283,9 @@
 {
   const Fingerprint fingerprint = FingerprintOf(aCall.request);
   const auto route = this->lookup(aCall.request.service);
-  const ServiceSpec spec = route ? route->service->spec : ServiceSpec{};
+  static const ServiceSpec defaults;
+  const ServiceSpec& spec = route ? route->service->spec : defaults;
   Running& state = this->running.at(aCall.id);
-  state.fingerprint = fingerprint;
   state.suspect =
     this->quarantine.Size() > 0 &&
     this->quarantine.Judge(fingerprint, spec.quarantine.threshold, Now()) !=
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -33,8 +33,7 @@
 std::string_view
 HostOf(const Request& aRequest)
 {
-  const auto host = FindHeader(aRequest.headers, "Host");
-  return host.substr(0, host.find(':'));
+  return WithoutPort(FindHeader(aRequest.headers, "Host"));
 }
 
 /// Time that the caller still gives the call, if it says so.
--- a/src/baobab/node/route_table.cpp
+++ b/src/baobab/node/route_table.cpp
@@ -133,7 +133,6 @@
                     std::vector<std::uint64_t> aSuspects)
 {
   auto table = std::make_unique<RouteTable>();
-  table->generation = aConfiguration.Generation();
   std::ranges::sort(aSuspects);
   table->suspects = std::move(aSuspects);
   for (const auto& configured : aConfiguration.Services()) {
