--- a/include/baobab/core/load_report.hpp
+++ b/include/baobab/core/load_report.hpp
@@ -11,6 +11,8 @@
   std::uint16_t running = 0;
   std::uint16_t queued = 0;
   std::uint16_t slots = 0;
+  /// Time that work takes on the target's host now, in percent of the usual.
+  std::uint16_t slowness = 100;
 
   bool operator==(const LoadReport&) const = default;
 };
--- a/include/baobab/core/outcome.hpp
+++ b/include/baobab/core/outcome.hpp
@@ -26,8 +26,14 @@
   WrongService,
   TooLarge,
   Cancelled,
+  /// The target itself rejected the call.
+  Shed,
+  /// Another instance than the one that was meant has the target's address.
+  WrongInstance,
 };
 
+constexpr RefusalReason kLastRefusalReason = RefusalReason::WrongInstance;
+
 /// Returns the stable name of a reason.
 std::string_view Name(RefusalReason aReason);
 
@@ -44,6 +50,8 @@
   std::string detail;
   /// True if a daemon nearer to the failure has already tried again.
   bool retried = false;
+  /// Time after which another try may find room; 0 if not known.
+  Micros retryAfter{ 0 };
 };
 
 /// Why the outcome of a call is unknown.
--- a/include/baobab/core/schema.hpp
+++ b/include/baobab/core/schema.hpp
@@ -280,20 +280,16 @@
   return aField;
 }
 
-/// Reads a document strictly: every key must be known, of its type and in
-/// range, and no required key may be absent.
+/// Reads entries strictly: every key must be known, of its type and in range,
+/// and no required key may be absent.
 template<class T>
 Result<T>
-ReadDocument(const std::vector<Field<T>>& aSchema,
-             std::string_view aText,
-             std::string_view aFile)
+ReadEntries(const std::vector<Field<T>>& aSchema,
+            const std::vector<TomlEntry>& aEntries,
+            std::string_view aFile)
 {
-  auto entries = ReadToml(aText, aFile);
-  if (!Succeeded(entries)) {
-    return Failure(entries);
-  }
   T document{};
-  for (const TomlEntry& entry : Value(entries)) {
+  for (const TomlEntry& entry : aEntries) {
     const auto field =
       std::ranges::find_if(aSchema, [&](const Field<T>& aField) {
         return aField.help.key == entry.key;
@@ -312,7 +308,7 @@
   }
   for (const Field<T>& field : aSchema) {
     const bool present =
-      std::ranges::any_of(Value(entries), [&](const TomlEntry& aEntry) {
+      std::ranges::any_of(aEntries, [&](const TomlEntry& aEntry) {
         return aEntry.key == field.help.key;
       });
     if (field.required && !present) {
@@ -322,6 +318,20 @@
   return document;
 }
 
+/// Reads a document strictly, see ReadEntries.
+template<class T>
+Result<T>
+ReadDocument(const std::vector<Field<T>>& aSchema,
+             std::string_view aText,
+             std::string_view aFile)
+{
+  const auto entries = ReadToml(aText, aFile);
+  if (!Succeeded(entries)) {
+    return Failure(entries);
+  }
+  return ReadEntries(aSchema, Value(entries), aFile);
+}
+
 /// Returns the reference table of a schema in Markdown.
 template<class T>
 std::string
--- a/include/baobab/core/service.hpp
+++ b/include/baobab/core/service.hpp
@@ -28,6 +28,58 @@
   Run,
 };
 
+/// Whether the calls of a route may be repeated.
+enum class RouteKind : std::uint8_t
+{
+  /// By HTTP method and the service's path lists.
+  ByMethod,
+  Idempotent,
+  NonIdempotent,
+  /// Idempotent, with large answers.
+  Download,
+};
+
+/// A service's part of a route's calls.
+struct RoutePart
+{
+  std::string service;
+  std::int64_t weight = 1;
+
+  bool operator==(const RoutePart&) const = default;
+};
+
+/// Calls of one host and path prefix.
+struct RouteSpec
+{
+  /// Host header without port; empty for any.
+  std::string host;
+  std::string pathPrefix;
+  RouteKind kind = RouteKind::ByMethod;
+  /// Time that a caller is kept waiting at most; 0: the service's deadline.
+  Millis timeout{ 0 };
+  /// Targets that may get one call; 0: the service's attempts.
+  std::int64_t attempts = 0;
+  /// Rank among the calls that wait; 0 is the most urgent.
+  std::int64_t priority = 0;
+  /// Time within which an answer has its full worth; 0: the service's.
+  Millis objective{ 0 };
+  /// Services that answer; empty: the service of the file.
+  std::vector<RoutePart> parts;
+
+  bool operator==(const RouteSpec&) const = default;
+};
+
+/// What callers may send, for the whole fleet; the tightest file counts.
+struct CallerLimits
+{
+  std::int64_t headerBytes = 1 << 20;
+  std::int64_t bodyBytes = 1LL << 30U;
+  Millis headerTime{ 600000 };
+  Millis idleTime{ 600000 };
+
+  bool operator==(const CallerLimits&) const = default;
+};
+
 struct ServiceLimits
 {
   std::int64_t bodyBytes = 1 << 20;
@@ -89,8 +141,16 @@
   std::int64_t revision = 0;
   /// True once the service is withdrawn; its entry stays as a tombstone.
   bool retired = false;
+  /// True if only routes of other files lead to the service.
+  bool unrouted = false;
   std::vector<std::string> hosts;
   std::string pathPrefix;
+  std::vector<RouteSpec> routes;
+  /// Path that tells health and load of a target; empty if there is none.
+  std::string healthPath;
+  /// Connections that a target accepts; 0: as the daemon's settings say.
+  std::int64_t connections = 0;
+  CallerLimits callers;
   Millis deadline{ 2000 };
   PolicyKind policy = PolicyKind::LoadAware;
   std::vector<std::string> idempotentPaths;
@@ -120,10 +180,17 @@
                   std::string_view aMethod,
                   std::string_view aTarget);
 
-/// True if the request matches the service's hosts and path prefix.
-/// @param aHost Host header without port
-bool Matches(const ServiceSpec& aService,
-             std::string_view aHost,
-             std::string_view aTarget);
+/// The keys of one entry of a service file's `routes`.
+const std::vector<Field<RouteSpec>>& RouteSchema();
+
+/// Returns the routes that a service file declares: those of `hosts` and
+/// `path_prefix`, then those listed in `routes`, with every default filled in.
+std::vector<RouteSpec> RoutesOf(const ServiceSpec& aService);
+
+/// True if the calls of a route may be repeated.
+bool IsIdempotent(const RouteSpec& aRoute,
+                  const ServiceSpec& aService,
+                  std::string_view aMethod,
+                  std::string_view aTarget);
 
 }
--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -25,6 +25,9 @@
   Millis silence{ 1000 };
   Millis announcement{ 3500 };
   Millis drain{ 30000 };
+  /// Time for which a shutdown still takes new requests while callers learn
+  /// of it.
+  Millis leave{ 300 };
 };
 
 struct ControlBudget
@@ -36,10 +39,58 @@
   Millis statusPeriod{ 10000 };
 };
 
+/// Names of the headers that callers, targets and daemons exchange.
+struct HeaderNames
+{
+  /// From callers, to targets and back: identity of the request. Answers of
+  /// targets must carry it if it is set.
+  std::string requestId;
+  /// From callers and to targets: time left, in milliseconds.
+  std::string deadline = "Baobab-Deadline-Ms";
+  /// To targets: service beside which the request began.
+  std::string callerService = "Baobab-Caller-Service";
+  /// To targets: instance that is meant.
+  std::string targetInstance = "Baobab-Target-Instance";
+  /// From targets: the request was shed without running it.
+  std::string notRun = "Baobab-Not-Run";
+  /// True if `notRun` must hold the call's identity to be believed.
+  bool notRunNamesCall = true;
+  /// From targets: running, waiting, slots and slowness in percent.
+  std::string load = "Baobab-Load";
+  /// From targets: their instance.
+  std::string instance = "Baobab-Instance";
+  /// True if callers take 408, 421, 429 and 503 for "not run", so that a
+  /// target's own answer of that status must not reach them.
+  bool statusesPromise = false;
+  /// True if Retry-After may have a fraction.
+  bool fractionalRetryAfter = false;
+  /// From targets: must be present on a success, if it is set.
+  std::string stamp;
+};
+
+/// Limits on retries that hold whatever a service file allows.
+struct RetryCaps
+{
+  /// Retries allowed for each first attempt.
+  double ratio = 1;
+  /// Retries that the whole fleet may save up, by service.
+  std::int64_t fleetBurst = 1000000;
+};
+
 struct Settings
 {
   Endpoint callers;
   Endpoint peers;
+  /// Address that answers whether the daemon is ready; unset: only `admin`.
+  std::optional<Endpoint> readiness;
+  /// Service of the local target, for the caller's header; empty: as the
+  /// target announces.
+  std::string service;
+  /// Address of the local target, by which it is found before it announces
+  /// itself; announcements of other addresses are refused. Unset: any.
+  std::optional<Endpoint> target;
+  HeaderNames headers;
+  RetryCaps retries;
   /// Address that is announced to other daemons; unset: `peers`.
   std::optional<Endpoint> announced;
   Endpoint admin;
--- a/include/baobab/core/toml_entry.hpp
+++ b/include/baobab/core/toml_entry.hpp
@@ -18,7 +18,8 @@
 /// One key with its value and its place in the file.
 struct TomlEntry
 {
-  /// Dotted key, for example `limits.queue_ms`.
+  /// Dotted key, for example `limits.queue_ms`; in a list of tables with the
+  /// table's index, for example `routes.0.host`.
   std::string key;
   TomlValue value;
   std::uint32_t line = 0;
--- a/include/baobab/decision/call_plan.hpp
+++ b/include/baobab/decision/call_plan.hpp
@@ -16,7 +16,9 @@
 };
 
 /// The attempts of one call. A call ends as "not run" only if none of its
-/// attempts may have run.
+/// attempts may have run. An attempt that may have reached a target counts
+/// against the call's attempts, and another one needs budget; what a daemon
+/// refused before its target costs neither.
 class CallPlan
 {
 public:
@@ -37,6 +39,8 @@
   std::int64_t most;
   TimePoint deadline;
   std::int64_t attempts = 0;
+  /// Attempts that may have reached a target.
+  std::int64_t arrivals = 0;
   Outcome result;
 };
 
--- a/include/baobab/net/http_client.hpp
+++ b/include/baobab/net/http_client.hpp
@@ -7,10 +7,22 @@
 #include "baobab/core/time.hpp"
 #include "baobab/net/socket.hpp"
 
+#include <functional>
 #include <memory>
 
 namespace baobab {
 
+/// How an exchange is made.
+struct ExchangeOptions
+{
+  /// Largest body accepted.
+  std::size_t answerBytes = 0;
+  Duration timeout = Duration::zero();
+  /// Tells whether an answer belongs to the request; others are discarded.
+  /// Unset: the first one does.
+  std::function<bool(const Response&)> belongs = nullptr;
+};
+
 /// A connection that carries one request at a time.
 class HttpClient
 {
@@ -25,14 +37,16 @@
 
   /// Sends a request and reads the whole answer. Fails with ConnectionLost,
   /// TimedOut or TooLarge; after a failure the connection is closed.
-  /// @param aAnswerBytes largest body accepted
   virtual Result<Response> Exchange(const Request& aRequest,
-                                    std::size_t aAnswerBytes,
-                                    Duration aTimeout) = 0;
+                                    const ExchangeOptions& aOptions) = 0;
 
   /// True if the connection can carry another request.
   virtual bool Reusable() = 0;
 
+  /// Time that the other end keeps the connection without a request, as it
+  /// said last; Duration::max() if it did not.
+  virtual Duration KeepTime() const = 0;
+
   /// True if a byte of an answer was read in the last exchange.
   virtual bool AnswerBegan() const = 0;
 
--- a/include/baobab/net/http_server.hpp
+++ b/include/baobab/net/http_server.hpp
@@ -41,16 +41,46 @@
   TooSlow,
 };
 
-/// What a server does with requests. Both functions run on a fiber of the
+/// Tells a handler that its caller has closed the connection.
+class CallerWatch
+{
+public:
+  /// Sets what happens when the caller goes; at once if it has gone already.
+  void OnGone(std::function<void()> aAction)
+  {
+    this->action = std::move(aAction);
+    if (this->gone && this->action) {
+      this->action();
+    }
+  }
+
+  void NoteGone()
+  {
+    this->gone = true;
+    if (this->action) {
+      this->action();
+    }
+  }
+
+  bool Gone() const { return this->gone; }
+
+private:
+  bool gone = false;
+  std::function<void()> action;
+};
+
+/// What a server does with requests. All functions run on a fiber of the
 /// connection's thread.
 struct HttpHandler
 {
   /// Returns the largest body accepted for a request.
   std::function<std::size_t(const HttpHead&)> bodyLimit;
   /// Answers a whole request. `service` is empty, `Host` is a header.
-  std::function<Response(Request&&)> answer;
+  std::function<Response(Request&&, CallerWatch&)> answer;
   /// Answers a request that could not be read.
   std::function<Response(HttpFault)> refuse;
+  /// Returns the limits for the next request; unset: the server's own.
+  std::function<HttpLimits()> limits = nullptr;
 };
 
 /// Controls the connections of a server.
@@ -86,6 +116,9 @@
                const HttpHandler& aHandler,
                HttpGate& aGate);
 
+/// True if two names mean the same header.
+bool SameHeader(std::string_view aLeft, std::string_view aRight);
+
 /// Returns the value of a header, or an empty view.
 std::string_view FindHeader(const std::vector<HeaderField>& aHeaders,
                             std::string_view aName);
--- a/include/baobab/net/http_store.hpp
+++ b/include/baobab/net/http_store.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "baobab/net/http_client.hpp"
-#include "baobab/net/object_store.hpp"
+#include "baobab/net/store.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -11,7 +11,7 @@
 namespace baobab {
 
 /// The object store over HTTP. Used by one fiber at a time.
-class HttpStore
+class HttpStore : public Store
 {
 public:
   HttpStore(boost::asio::io_context& aContext,
@@ -19,12 +19,12 @@
             Duration aTimeout);
 
   /// Reads an object; nothing if it does not exist.
-  Result<std::optional<StoredObject>> Get(std::string_view aKey);
+  Result<std::optional<StoredObject>> Get(std::string_view aKey) override;
 
   /// Writes an object under a condition and returns its new version.
   Result<ObjectVersion> Put(std::string_view aKey,
                             std::string_view aValue,
-                            const PutCondition& aCondition);
+                            const PutCondition& aCondition) override;
 
   /// Waits until an object has another version than the given one. Returns
   /// nothing if it has not changed after the time.
@@ -35,8 +35,9 @@
   /// Returns the keys with a prefix.
   Result<std::vector<std::string>> List(std::string_view aPrefix);
 
-  /// Calls made since the start.
-  std::uint64_t Calls() const { return this->calls; }
+  Result<std::vector<StoredObject>> ReadAll(std::string_view aPrefix) override;
+
+  std::uint64_t Calls() const override { return this->calls; }
 
 private:
   Result<Response> Send(const Request& aRequest, Duration aTimeout);
--- a/include/baobab/net/socket.hpp
+++ b/include/baobab/net/socket.hpp
@@ -36,6 +36,9 @@
                             Duration aTimeout,
                             std::uint32_t aLocalAddress = 0);
 
+/// True if the other end has closed the connection, or it has failed.
+bool HasEnded(Tcp::socket& aSocket);
+
 /// True if the other end has closed the connection or sent what nobody asked
 /// for; such a connection must not carry another request.
 bool IsStale(Tcp::socket& aSocket);
--- a/include/baobab/node/admin.hpp
+++ b/include/baobab/node/admin.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "baobab/core/result.hpp"
-#include "baobab/decision/admission.hpp"
+#include "baobab/decision/target_register.hpp"
 #include "baobab/net/http_server.hpp"
 
 #include <functional>
@@ -11,20 +11,17 @@
 
 namespace baobab {
 
-/// What a target sends once a second.
-struct TargetAnnouncement
-{
-  Announcement announcement;
-  Endpoint address;
-};
-
 /// Parses an announcement. Fails with BadMessage, naming the member.
-Result<TargetAnnouncement> ParseAnnouncement(std::string_view aJson);
+/// @param aInstance identity of the target; without one no `seq` is needed
+Result<TargetAnnouncement> ParseAnnouncement(std::string_view aJson,
+                                             std::string_view aInstance = "");
 
 /// What the admin port shows and accepts.
 struct AdminHooks
 {
   std::function<void(const TargetAnnouncement&)> announce;
+  /// A target says that it is gone.
+  std::function<void(std::string_view)> depart;
   std::function<bool()> ready;
   std::function<std::string()> metrics;
 };
@@ -33,4 +30,7 @@
 /// process.
 HttpHandler AdminHandler(AdminHooks aHooks);
 
+/// Handler for an address that only tells whether the daemon is ready.
+HttpHandler ReadinessHandler(std::function<bool()> aReady);
+
 }
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -5,6 +5,7 @@
 #include "baobab/decision/admission.hpp"
 #include "baobab/decision/call_ledger.hpp"
 #include "baobab/decision/quarantine.hpp"
+#include "baobab/decision/target_register.hpp"
 #include "baobab/net/frame_connection.hpp"
 #include "baobab/node/route_table.hpp"
 #include "baobab/node/target_client.hpp"
@@ -54,8 +55,17 @@
   void OnRelease(const ReleaseMessage& aRelease);
   void OnCancel(const CancelMessage& aCancel);
 
-  /// Takes over what the target announced.
-  void Announce(const Announcement& aAnnouncement, const Endpoint& aAddress);
+  /// Takes over what the target announced, unless it is outdated.
+  void Announce(const TargetAnnouncement& aAnnouncement);
+
+  /// The target says that it is gone; it gets nothing new from here on.
+  void Depart(std::string_view aInstance);
+
+  /// Learns of a running target by its health path, after a start of this
+  /// daemon and until the target announces itself.
+  void Discover(std::string_view aService,
+                const Endpoint& aAddress,
+                std::string_view aHealthPath);
 
   /// Runs timers; called a few times a second.
   void Tick();
@@ -106,7 +116,7 @@
   Admission admission;
   CallLedger ledger;
   bool leaving = false;
-  Announcement lastAnnouncement;
+  TargetRegister targets;
   std::unordered_map<std::uint64_t, SenderConnection> senders;
   std::unordered_map<CallId, Waiting> waiting;
   std::unordered_map<CallId, Running> running;
--- a/include/baobab/node/config_agent.hpp
+++ b/include/baobab/node/config_agent.hpp
@@ -3,12 +3,13 @@
 
 #include "baobab/core/settings.hpp"
 #include "baobab/decision/membership.hpp"
+#include "baobab/net/config_source.hpp"
 #include "baobab/net/frame_connection.hpp"
-#include "baobab/net/http_store.hpp"
 #include "baobab/node/control_pacer.hpp"
 #include "baobab/node/route_publisher.hpp"
 
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace baobab {
@@ -20,6 +21,7 @@
 {
 public:
   ConfigAgent(boost::asio::io_context& aContext,
+              std::unique_ptr<ConfigSource> aSource,
               Membership& aMembership,
               RoutePublisher& aPublisher,
               ControlPacer& aPacer,
@@ -45,7 +47,7 @@
   }
 
   /// Calls to the store since the start.
-  std::uint64_t StoreCalls() const { return this->store.Calls(); }
+  std::uint64_t StoreCalls() const { return this->source->Calls(); }
 
   /// Called with the new generation after it is in force.
   std::function<void(std::uint64_t)> onAdopted;
@@ -54,19 +56,17 @@
   bool IsReader() const;
   void ReadStore();
   void WatchStore();
-  void Fetch(const StoredObject& aManifest);
-  Result<ConfigDelta> FetchChanges(const Manifest& aManifest);
+  void Take(const Result<std::optional<ConfigDelta>>& aRead);
   void Pull(const Endpoint& aPeer);
-  Result<ConfigDelta> Request(const Endpoint& aPeer);
-  void Adopt(const ConfigDelta& aDelta, std::string_view aSource);
+  Result<ConfigDelta> Request(const Endpoint& aPeer, std::uint64_t aSince);
+  Result<Done> Adopt(const ConfigDelta& aDelta, std::string_view aSource);
 
   boost::asio::io_context& context;
   Membership& membership;
   RoutePublisher& publisher;
   ControlPacer& pacer;
   const Settings& settings;
-  HttpStore store;
-  ObjectVersion manifestVersion;
+  std::unique_ptr<ConfigSource> source;
   bool pulling = false;
   bool askedStore = false;
   TimePoint heardAt;
--- a/include/baobab/node/daemon.hpp
+++ b/include/baobab/node/daemon.hpp
@@ -4,11 +4,34 @@
 
 #include "baobab/core/result.hpp"
 #include "baobab/core/settings.hpp"
+#include "baobab/net/config_source.hpp"
+#include "baobab/net/store.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
 
 namespace baobab {
 
+/// How a daemon reaches its platform.
+struct Platform
+{
+  std::function<std::unique_ptr<Store>(boost::asio::io_context&,
+                                       const Endpoint&)>
+    openStore;
+  std::function<std::unique_ptr<ConfigSource>(boost::asio::io_context&,
+                                              const Endpoint&)>
+    openConfig;
+};
+
+/// The product's own object store and publishing.
+Platform OwnPlatform();
+
 /// Runs a daemon until SIGTERM or SIGINT, then drains it. Fails with System
 /// if an address cannot be used.
-Result<Done> RunDaemon(const Settings& aSettings);
+/// @param aReload reads the settings again, on SIGHUP and now and then
+Result<Done> RunDaemon(const Settings& aSettings,
+                       const Platform& aPlatform,
+                       std::function<Result<Settings>()> aReload);
 
 }
--- a/include/baobab/node/gossip_agent.hpp
+++ b/include/baobab/node/gossip_agent.hpp
@@ -5,10 +5,11 @@
 #include "baobab/decision/membership.hpp"
 #include "baobab/decision/quarantine.hpp"
 #include "baobab/net/frame_connection.hpp"
-#include "baobab/net/http_store.hpp"
+#include "baobab/net/store.hpp"
 #include "baobab/node/control_pacer.hpp"
 
 #include <functional>
+#include <memory>
 
 namespace baobab {
 
@@ -30,6 +31,7 @@
 {
 public:
   GossipAgent(boost::asio::io_context& aContext,
+              std::unique_ptr<Store> aStore,
               Membership& aMembership,
               Quarantine& aQuarantine,
               ControlPacer& aPacer,
@@ -58,7 +60,7 @@
              const TableRequestMessage& aRequest);
 
   const GossipCounts& Counts() const { return this->counts; }
-  std::uint64_t StoreCalls() const { return this->store.Calls(); }
+  std::uint64_t StoreCalls() const { return this->store->Calls(); }
 
   /// Called with each peer's generation.
   std::function<void(const Endpoint&, std::uint64_t)> onGeneration;
@@ -79,7 +81,7 @@
   ControlPacer& pacer;
   const Settings& settings;
   Udp::socket socket;
-  HttpStore store;
+  std::unique_ptr<Store> store;
   GossipCounts counts;
   SplitMix random;
   bool digestsDiffer = false;
--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -29,22 +29,24 @@
   const WorkerStats& Stats() const { return this->stats; }
 
 private:
-  using Route = std::shared_ptr<const ServiceRoute>;
-
   /// One call on its way.
   struct Call
   {
-    Route route;
+    std::shared_ptr<const Route> rule;
+    /// Service that answers this call.
+    std::shared_ptr<const ServiceRoute> route;
     Request request;
-    bool idempotent = false;
     TimePoint began;
-    TimePoint deadline;
+    CallTerms terms;
+    CallerWatch* caller = nullptr;
     /// Set while requests like this one are under suspicion.
     std::optional<std::uint64_t> suspect;
   };
 
-  Response Answer(Request&& aRequest);
-  Call Prepare(Route aRoute, Request&& aRequest) const;
+  Response Answer(Request&& aRequest, CallerWatch& aCaller);
+  Call Prepare(std::shared_ptr<const Route> aRule, Request&& aRequest);
+  HttpLimits Limits() const;
+  Response Unrouted() const;
   Outcome Carry(const Call& aCall, ServiceStats& aStats);
   ChosenTarget ChooseFor(const Call& aCall,
                          const std::vector<Endpoint>& aTried);
@@ -70,7 +72,8 @@
 };
 
 /// Response for a call that was not run.
-Response NotRunResponse(const NotRun& aRefusal);
+/// @param aFractions true if `Retry-After` may have a fraction
+Response NotRunResponse(const NotRun& aRefusal, bool aFractions = false);
 
 /// Response for a call whose outcome is unknown.
 Response UnknownResponse(const OutcomeUnknown& aUnknown);
--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -28,6 +28,16 @@
   std::function<void()> cancel;
 };
 
+/// What the target's daemon is told about a call besides the request.
+struct CallTerms
+{
+  bool idempotent = false;
+  std::uint8_t priority = 0;
+  TimePoint deadline;
+  /// Time until which an answer has its full worth.
+  TimePoint objective;
+};
+
 /// Identity of the sending end of a worker's links.
 struct LinkIdentity
 {
@@ -51,8 +61,7 @@
   /// deadline passed.
   /// @param aCancellation filled while the attempt runs
   AttemptResult Run(const Request& aRequest,
-                    bool aIdempotent,
-                    TimePoint aDeadline,
+                    const CallTerms& aTerms,
                     Cancellation* aCancellation = nullptr);
 
   /// Attempts whose outcome is not known yet.
@@ -63,6 +72,7 @@
   {
     CallAttempt attempt;
     const Request& request;
+    CallTerms terms;
     std::optional<LoadReport> load;
     Signal finished;
   };
--- a/include/baobab/node/route_publisher.hpp
+++ b/include/baobab/node/route_publisher.hpp
@@ -20,7 +20,7 @@
   RoutePublisher(Membership& aMembership,
                  Quarantine& aQuarantine,
                  RcuCell<RouteTable>& aRoutes,
-                 Locality aLocality);
+                 const Settings& aSettings);
 
   /// Takes over a configuration; it is in force when this returns.
   void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
@@ -42,6 +42,7 @@
   Membership& membership;
   Quarantine& quarantine;
   RcuCell<RouteTable>& routes;
+  RetryCaps caps;
   RouteBuilder builder;
   std::shared_ptr<const Configuration> configuration;
   std::uint64_t publishedVersion = 0;
--- a/include/baobab/node/route_table.hpp
+++ b/include/baobab/node/route_table.hpp
@@ -10,6 +10,7 @@
 #include "baobab/decision/target_load.hpp"
 #include "baobab/node/service_state.hpp"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <memory>
@@ -42,14 +43,51 @@
   std::array<std::vector<std::shared_ptr<TargetRef>>, kTierCount> tiers;
 };
 
+/// A service that answers a part of a route's calls.
+struct RouteShare
+{
+  std::int64_t weight = 1;
+  std::shared_ptr<const ServiceRoute> service;
+};
+
+/// A route with the services that answer it.
+struct Route
+{
+  RouteSpec spec;
+  /// Service whose file declares the route.
+  std::shared_ptr<const ConfiguredService> owner;
+  std::vector<RouteShare> shares;
+
+  /// Picks a service by weight; null if none of them is configured.
+  template<RandomSource R>
+  std::shared_ptr<const ServiceRoute> Pick(R& aRandom) const
+  {
+    std::int64_t total = 0;
+    for (const RouteShare& share : this->shares) {
+      total += share.weight;
+    }
+    if (total <= 0) {
+      return nullptr;
+    }
+    auto drawn = static_cast<std::int64_t>(
+      Below(aRandom, static_cast<std::size_t>(total)));
+    const auto picked =
+      std::ranges::find_if(this->shares, [&](const RouteShare& aShare) {
+        drawn -= aShare.weight;
+        return drawn < 0;
+      });
+    return picked->service;
+  }
+};
+
 /// All services. Never changed once built.
 class RouteTable
 {
 public:
-  /// Finds the service of a request: the longest matching path prefix, and a
+  /// Finds the route of a request: the longest matching path prefix, and a
   /// named host before none.
-  std::shared_ptr<const ServiceRoute> Find(std::string_view aHost,
-                                           std::string_view aTarget) const;
+  std::shared_ptr<const Route> Find(std::string_view aHost,
+                                    std::string_view aTarget) const;
 
   /// Finds a service by name.
   std::shared_ptr<const ServiceRoute> Find(std::string_view aService) const;
@@ -60,13 +98,15 @@
   std::vector<std::shared_ptr<const ServiceRoute>> routes;
   /// Requests under suspicion, sorted.
   std::vector<std::uint64_t> suspects;
+  /// Generation of the configuration; 0 if none is known yet.
+  std::uint64_t generation = 0;
+  /// The tightest limits of all service files.
+  CallerLimits callers;
 
 private:
   friend class RouteBuilder;
-  std::unordered_map<std::string,
-                     std::vector<std::shared_ptr<const ServiceRoute>>>
+  std::unordered_map<std::string, std::vector<std::shared_ptr<const Route>>>
     byHost;
-  std::vector<std::shared_ptr<const ServiceRoute>> anyHost;
 };
 
 /// Builds tables out of changes, and carries the state of services and
@@ -108,6 +148,8 @@
   std::shared_ptr<const ServiceRoute> RouteOf(
     const std::shared_ptr<const ConfiguredService>& aService);
   void Withdraw(const Endpoint& aEndpoint);
+  static void AddRoutes(RouteTable& aTable,
+                        const std::shared_ptr<const ConfiguredService>& aOwner);
 
   Locality locality;
   std::vector<std::string> silentRegions;
--- a/include/baobab/node/status_agent.hpp
+++ b/include/baobab/node/status_agent.hpp
@@ -5,7 +5,7 @@
 #include "baobab/decision/membership.hpp"
 #include "baobab/decision/zone_status.hpp"
 #include "baobab/net/frame_connection.hpp"
-#include "baobab/net/http_store.hpp"
+#include "baobab/net/store.hpp"
 #include "baobab/node/control_pacer.hpp"
 
 #include <deque>
@@ -30,6 +30,7 @@
 {
 public:
   StatusAgent(boost::asio::io_context& aContext,
+              std::unique_ptr<Store> aStore,
               const Membership& aMembership,
               ControlPacer& aPacer,
               std::function<CountsSinceStart()> aCounts,
@@ -47,7 +48,7 @@
   void Take(const std::shared_ptr<FrameConnection>& aFrames,
             const BurnReport& aReport);
 
-  std::uint64_t StoreCalls() const { return this->store.Calls(); }
+  std::uint64_t StoreCalls() const { return this->store->Calls(); }
 
 private:
   struct Unwritten
@@ -63,7 +64,7 @@
   /// Pause between writes, so that they stay within their part of the budget.
   Duration CollectTime() const;
   bool Load();
-  void Store();
+  void StoreStatus();
   void CountTargets();
   void Acknowledge();
 
@@ -73,7 +74,7 @@
   std::function<CountsSinceStart()> counts;
   std::function<std::uint64_t()> generation;
   const Settings& settings;
-  HttpStore store;
+  std::unique_ptr<Store> store;
   std::uint64_t reporter;
   std::uint64_t nextSequence = 1;
   CountsSinceStart counted;
--- a/include/baobab/node/target_client.hpp
+++ b/include/baobab/node/target_client.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "baobab/core/call_id.hpp"
+#include "baobab/core/load_report.hpp"
 #include "baobab/core/outcome.hpp"
 #include "baobab/core/settings.hpp"
 #include "baobab/net/http_client.hpp"
@@ -12,6 +13,9 @@
 
 namespace baobab {
 
+/// Parses `running,waiting,slots[,slowness]`; nothing if it is malformed.
+std::optional<LoadReport> ParseLoad(std::string_view aText);
+
 /// A call as it is handed to the target.
 struct TargetCall
 {
@@ -44,6 +48,8 @@
   Outcome outcome;
   /// True if the connection broke before an answer.
   bool broken = false;
+  /// Load that the target reported with its answer.
+  std::optional<LoadReport> load;
 };
 
 /// Connections to the local target.
@@ -56,8 +62,14 @@
   {
   }
 
-  /// Changes the target's address; pooled connections are dropped.
-  void SetEndpoint(const Endpoint& aEndpoint);
+  /// Changes the target's address or instance; pooled connections are
+  /// dropped.
+  /// @param aInstance named on every call; empty if the target has none
+  void SetTarget(const Endpoint& aEndpoint, std::string_view aInstance);
+
+  /// Asks the target's health path. Fails with ConnectFailed, ConnectionLost
+  /// or TimedOut.
+  Result<Response> AskHealth(std::string_view aPath, Duration aTimeout);
 
   /// Runs a call. Only an idempotent one uses a connection that was used
   /// before.
@@ -68,15 +80,26 @@
 
 private:
   std::unique_ptr<HttpClient> TakePooled();
+  struct Pooled
+  {
+    std::unique_ptr<HttpClient> client;
+    /// Time until which the target is expected to keep the connection.
+    TimePoint usableUntil;
+  };
+
   TargetResult Exchange(const TargetCall& aCall,
                         std::unique_ptr<HttpClient> aClient,
                         TargetControl& aControl);
+  TargetResult Judge(const TargetCall& aCall, Response aAnswer) const;
+  bool WasShed(const Response& aResponse, const CallId& aId) const;
+  void Keep(std::unique_ptr<HttpClient> aClient);
   Request Prepare(const TargetCall& aCall) const;
 
   boost::asio::io_context& context;
   const Settings& settings;
   Endpoint endpoint;
-  std::vector<std::unique_ptr<HttpClient>> pool;
+  std::string instance;
+  std::vector<Pooled> pool;
 };
 
 }
--- a/include/baobab/wire/peer_message.hpp
+++ b/include/baobab/wire/peer_message.hpp
@@ -42,6 +42,10 @@
   /// Time left when the message was sent.
   Micros remaining{ 0 };
   bool idempotent = false;
+  /// Rank among the calls that wait; 0 is the most urgent.
+  std::uint8_t priority = 0;
+  /// Time left for an answer of full worth; below 0 if it has passed.
+  Micros objective{ 0 };
 };
 
 struct AnswerMessage
@@ -88,6 +92,8 @@
 struct CancelMessage
 {
   CallId id;
+  /// True if a call that already runs shall go on.
+  bool waitingOnly = false;
 };
 
 struct HeartbeatMessage
--- a/src/baobab/core/outcome.cpp
+++ b/src/baobab/core/outcome.cpp
@@ -28,6 +28,10 @@
       return "too-large";
     case RefusalReason::Cancelled:
       return "cancelled";
+    case RefusalReason::Shed:
+      return "shed";
+    case RefusalReason::WrongInstance:
+      return "wrong-instance";
   }
   return "overloaded";
 }
--- a/src/baobab/core/reference_test.cpp
+++ b/src/baobab/core/reference_test.cpp
@@ -27,6 +27,12 @@
              std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(routes_are_in_step_with_the_code)
+{
+  BOOST_TEST(Page("SERVICE_FILE.md").find(ReferenceTable(RouteSchema())) !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(settings_page_is_in_step_with_the_code)
 {
   BOOST_TEST(Page("SETTINGS.md").find(ReferenceTable(SettingsSchema())) !=
--- a/src/baobab/core/service.cpp
+++ b/src/baobab/core/service.cpp
@@ -2,6 +2,9 @@
 
 #include <array>
 #include <cctype>
+#include <charconv>
+#include <map>
+#include <optional>
 
 namespace baobab {
 namespace {
@@ -29,6 +32,11 @@
     "retired",
     [](S& s) -> auto& { return s.retired; },
     "Withdraws the service; keep the file until every zone has it."));
+  add(Plain<S>(
+    "unrouted",
+    [](S& s) -> auto& { return s.unrouted; },
+    "Allows a file without routes; routes of other files may name the "
+    "service."));
   add(Plain<S>(
     "hosts",
     [](S& s) -> auto& { return s.hosts; },
@@ -37,6 +45,40 @@
     "path_prefix",
     [](S& s) -> auto& { return s.pathPrefix; },
     "Path prefix of the service's requests."));
+  add(Plain<S>(
+    "health_path",
+    [](S& s) -> auto& { return s.healthPath; },
+    "Path that tells health and load of a target."));
+  add(Integer<S>(
+    "connections",
+    [](S& s) -> auto& { return s.connections; },
+    { 0, 10000 },
+    "connections",
+    "Connections that a target accepts; 0: as the settings say."));
+  add(Integer<S>(
+    "callers.header_bytes",
+    [](S& s) -> auto& { return s.callers.headerBytes; },
+    { 1024, 1 << 20 },
+    "bytes",
+    "Largest request header of any caller; the lowest of all files counts."));
+  add(Integer<S>(
+    "callers.body_bytes",
+    [](S& s) -> auto& { return s.callers.bodyBytes; },
+    kBytes,
+    "bytes",
+    "Largest request body of any caller; the lowest of all files counts."));
+  add(Time<S>(
+    "callers.header_ms",
+    [](S& s) -> auto& { return s.callers.headerTime; },
+    { 10, 600000 },
+    "ms",
+    "Time for a caller to send a header; the lowest of all files counts."));
+  add(Time<S>(
+    "callers.idle_ms",
+    [](S& s) -> auto& { return s.callers.idleTime; },
+    { 10, 600000 },
+    "ms",
+    "Time that a caller connection may be idle; the lowest of all counts."));
   add(Time<S>(
     "deadline_ms",
     [](S& s) -> auto& { return s.deadline; },
@@ -77,7 +119,7 @@
   add(Integer<S>(
     "limits.body_bytes",
     [](S& s) -> auto& { return s.limits.bodyBytes; },
-    { 0, 16LL << 20U },
+    { 0, 64LL << 20U },
     "bytes",
     "Largest request body."));
   add(Integer<S>(
@@ -192,6 +234,143 @@
   return schema;
 }
 
+/// Parses `service:weight`.
+std::optional<RoutePart>
+ParsePart(std::string_view aText)
+{
+  const auto colon = aText.rfind(':');
+  std::int64_t weight = 0;
+  const std::string_view number =
+    colon == std::string_view::npos ? "" : aText.substr(colon + 1);
+  const auto [end, code] =
+    std::from_chars(number.data(), number.data() + number.size(), weight);
+  if (code != std::errc{} || end != number.data() + number.size() ||
+      weight < 0 || colon == 0) {
+    return std::nullopt;
+  }
+  return RoutePart{ std::string(aText.substr(0, colon)), weight };
+}
+
+Field<RouteSpec>
+PartsField()
+{
+  return { { "split",
+             "list of strings",
+             "",
+             "[]",
+             "",
+             "Services that share the calls, as `service:weight`." },
+           false,
+           [](RouteSpec& aRoute, const TomlValue& aValue) {
+             const auto* list = std::get_if<std::vector<std::string>>(&aValue);
+             std::optional<Error> error;
+             if (list == nullptr) {
+               return std::optional(
+                 schema_detail::Expected("a list of 'service:weight'"));
+             }
+             for (const std::string& text : *list) {
+               auto part = ParsePart(text);
+               if (!part) {
+                 return std::optional(
+                   schema_detail::Expected("each part as 'service:weight'"));
+               }
+               aRoute.parts.push_back(std::move(*part));
+             }
+             return error;
+           } };
+}
+
+std::vector<Field<RouteSpec>>
+BuildRouteSchema()
+{
+  using R = RouteSpec;
+  return {
+    Plain<R>(
+      "host",
+      [](R& r) -> auto& { return r.host; },
+      "Host header without port; any if left out."),
+    Required(Plain<R>(
+      "path_prefix",
+      [](R& r) -> auto& { return r.pathPrefix; },
+      "Path prefix; the longest that matches counts.")),
+    OneOf<R, RouteKind>(
+      "kind",
+      [](R& r) -> auto& { return r.kind; },
+      { { "by_method", RouteKind::ByMethod },
+        { "idempotent", RouteKind::Idempotent },
+        { "non_idempotent", RouteKind::NonIdempotent },
+        { "download", RouteKind::Download } },
+      "Whether a call may be repeated."),
+    Time<R>(
+      "timeout_ms",
+      [](R& r) -> auto& { return r.timeout; },
+      { 0, 600000 },
+      "ms",
+      "Time a caller is kept waiting at most; 0: `deadline_ms`."),
+    Integer<R>(
+      "attempts",
+      [](R& r) -> auto& { return r.attempts; },
+      { 0, 10 },
+      "targets",
+      "Targets that may get one call; 0: `retry.attempts`."),
+    Integer<R>(
+      "priority",
+      [](R& r) -> auto& { return r.priority; },
+      { 0, 100 },
+      "",
+      "Rank among the calls that wait; 0 is the most urgent."),
+    Time<R>(
+      "objective_ms",
+      [](R& r) -> auto& { return r.objective; },
+      { 0, 600000 },
+      "ms",
+      "Time within which an answer has its full worth; 0: "
+      "`objective.latency_ms`."),
+    PartsField(),
+  };
+}
+
+/// Index of the route that a key such as `routes.0.host` belongs to, and the
+/// key within it.
+std::optional<std::pair<std::size_t, std::string>>
+RouteKey(const std::string& aKey)
+{
+  constexpr std::string_view kList = "routes.";
+  std::size_t index = 0;
+  const char* last = aKey.data() + aKey.size();
+  if (!aKey.starts_with(kList)) {
+    return std::nullopt;
+  }
+  const auto [end, code] =
+    std::from_chars(aKey.data() + kList.size(), last, index);
+  if (code != std::errc{} || end == last || *end != '.') {
+    return std::nullopt;
+  }
+  return std::pair(index, std::string(end + 1, last));
+}
+
+Result<std::vector<RouteSpec>>
+ReadRoutes(const std::vector<TomlEntry>& aEntries, std::string_view aFile)
+{
+  std::map<std::size_t, std::vector<TomlEntry>> grouped;
+  for (const TomlEntry& entry : aEntries) {
+    if (auto key = RouteKey(entry.key)) {
+      TomlEntry inner = entry;
+      inner.key = std::move(key->second);
+      grouped[key->first].push_back(std::move(inner));
+    }
+  }
+  std::vector<RouteSpec> routes;
+  for (const auto& [index, entries] : grouped) {
+    auto route = ReadEntries(RouteSchema(), entries, aFile);
+    if (!Succeeded(route)) {
+      return Failure(route);
+    }
+    routes.push_back(std::move(Value(route)));
+  }
+  return routes;
+}
+
 bool
 StartsWithAny(const std::vector<std::string>& aPrefixes,
               std::string_view aTarget)
@@ -201,12 +380,6 @@
   });
 }
 
-bool
-EqualIgnoringCase(std::string_view aLeft, std::string_view aRight)
-{
-  return std::ranges::equal(aLeft, aRight, {}, ::tolower, ::tolower);
-}
-
 bool
 IsName(std::string_view aName)
 {
@@ -214,7 +387,7 @@
   return !aName.empty() && aName.size() <= kLongestName &&
          std::ranges::all_of(aName, [](unsigned char aChar) {
            return std::islower(aChar) != 0 || std::isdigit(aChar) != 0 ||
-                  aChar == '-';
+                  aChar == '-' || aChar == '_';
          });
 }
 
@@ -238,30 +411,56 @@
   return schema;
 }
 
+const std::vector<Field<RouteSpec>>&
+RouteSchema()
+{
+  static const std::vector<Field<RouteSpec>> schema = BuildRouteSchema();
+  return schema;
+}
+
 Result<ServiceSpec>
 ParseService(std::string_view aText, std::string_view aFile)
 {
-  auto parsed = ReadDocument(ServiceSchema(), aText, aFile);
+  auto entries = ReadToml(aText, aFile);
+  if (!Succeeded(entries)) {
+    return Failure(entries);
+  }
+  auto routes = ReadRoutes(Value(entries), aFile);
+  if (!Succeeded(routes)) {
+    return Failure(routes);
+  }
+  std::erase_if(Value(entries), [](const TomlEntry& aEntry) {
+    return RouteKey(aEntry.key).has_value();
+  });
+  auto parsed = ReadEntries(ServiceSchema(), Value(entries), aFile);
   if (!Succeeded(parsed)) {
     return parsed;
   }
-  const ServiceSpec& service = Value(parsed);
+  ServiceSpec& service = Value(parsed);
+  service.routes = std::move(Value(routes));
   if (!IsName(service.name)) {
     return DocumentError(aFile,
                          ErrorKind::OutOfRange,
                          "'name' is not a service name",
-                         "use 1 to 63 lower-case letters, digits and hyphens");
+                         "use 1 to 63 lower-case letters, digits, hyphens and "
+                         "underscores");
   }
-  if (!service.retired && service.hosts.empty() && service.pathPrefix.empty()) {
+  if (!service.retired && service.hosts.empty() && service.pathPrefix.empty() &&
+      !service.unrouted && service.routes.empty()) {
     return DocumentError(aFile,
                          ErrorKind::MissingKey,
-                         "neither 'hosts' nor 'path_prefix' is given",
-                         "say by which Host or path callers reach the service");
+                         "neither 'hosts', 'path_prefix' nor 'routes' is given",
+                         "say by which Host or path callers reach the service, "
+                         "or set 'unrouted'");
   }
-  if (!service.pathPrefix.empty() && service.pathPrefix.front() != '/') {
+  const auto isPrefix = [](const std::string& aPrefix) {
+    return aPrefix.empty() || aPrefix.front() == '/';
+  };
+  if (!isPrefix(service.pathPrefix) ||
+      !std::ranges::all_of(service.routes, isPrefix, &RouteSpec::pathPrefix)) {
     return DocumentError(aFile,
                          ErrorKind::OutOfRange,
-                         "'path_prefix' does not start with '/'",
+                         "a 'path_prefix' does not start with '/'",
                          "write it as it stands in the request line");
   }
   if (service.measuring.crossRegionBytesPerSecond >
@@ -293,18 +492,50 @@
          kIdempotentMethods.end();
 }
 
+std::vector<RouteSpec>
+RoutesOf(const ServiceSpec& aService)
+{
+  std::vector<RouteSpec> routes;
+  for (const std::string& host : aService.hosts) {
+    routes.push_back({ host, aService.pathPrefix });
+  }
+  if (aService.hosts.empty() && !aService.pathPrefix.empty()) {
+    routes.push_back({ "", aService.pathPrefix });
+  }
+  std::ranges::copy(aService.routes, std::back_inserter(routes));
+  for (RouteSpec& route : routes) {
+    if (route.timeout == Millis::zero()) {
+      route.timeout = aService.deadline;
+    }
+    if (route.attempts == 0) {
+      route.attempts = aService.retry.attempts;
+    }
+    if (route.objective == Millis::zero()) {
+      route.objective = aService.objective.latency;
+    }
+    if (route.parts.empty()) {
+      route.parts.push_back({ aService.name, 1 });
+    }
+  }
+  return routes;
+}
+
 bool
-Matches(const ServiceSpec& aService,
-        std::string_view aHost,
-        std::string_view aTarget)
+IsIdempotent(const RouteSpec& aRoute,
+             const ServiceSpec& aService,
+             std::string_view aMethod,
+             std::string_view aTarget)
 {
-  if (aService.retired || !aTarget.starts_with(aService.pathPrefix)) {
-    return false;
+  switch (aRoute.kind) {
+    case RouteKind::Idempotent:
+    case RouteKind::Download:
+      return true;
+    case RouteKind::NonIdempotent:
+      return false;
+    case RouteKind::ByMethod:
+      break;
   }
-  return aService.hosts.empty() ||
-         std::ranges::any_of(aService.hosts, [&](const std::string& aName) {
-           return EqualIgnoringCase(aName, aHost);
-         });
+  return IsIdempotent(aService, aMethod, aTarget);
 }
 
 }
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -37,10 +37,70 @@
   return aText;
 }
 
+template<class Access>
+Field<S>
+HeaderField(const std::string& aName, Access aAccess, std::string aHelp)
+{
+  return Plain<S>("headers." + aName, aAccess, std::move(aHelp));
+}
+
+void
+AddHeaders(std::vector<Field<S>>& aSchema)
+{
+  const auto add = [&](Field<S> aField) {
+    aSchema.push_back(std::move(aField));
+  };
+  add(HeaderField(
+    "request_id",
+    [](S& s) -> auto& { return s.headers.requestId; },
+    "Identity of a request, which targets repeat; empty: none."));
+  add(HeaderField(
+    "deadline",
+    [](S& s) -> auto& { return s.headers.deadline; },
+    "Time left in milliseconds, from callers and to targets."));
+  add(HeaderField(
+    "caller_service",
+    [](S& s) -> auto& { return s.headers.callerService; },
+    "To targets: service beside which the request began."));
+  add(HeaderField(
+    "target_instance",
+    [](S& s) -> auto& { return s.headers.targetInstance; },
+    "To targets: the instance that is meant."));
+  add(HeaderField(
+    "not_run",
+    [](S& s) -> auto& { return s.headers.notRun; },
+    "From targets: the request was shed without running it."));
+  add(Plain<S>(
+    "headers.not_run_names_call",
+    [](S& s) -> auto& { return s.headers.notRunNamesCall; },
+    "`headers.not_run` is believed only with the call's identity."));
+  add(Plain<S>(
+    "headers.statuses_promise",
+    [](S& s) -> auto& { return s.headers.statusesPromise; },
+    "Callers take 408, 421, 429 and 503 for \"not run\"; such an answer of a "
+    "target that ran the request becomes 502."));
+  add(Plain<S>(
+    "headers.fractional_retry_after",
+    [](S& s) -> auto& { return s.headers.fractionalRetryAfter; },
+    "Callers accept fractions of a second in `Retry-After`."));
+  add(HeaderField(
+    "load",
+    [](S& s) -> auto& { return s.headers.load; },
+    "From targets: running, waiting, slots, slowness in percent."));
+  add(HeaderField(
+    "instance",
+    [](S& s) -> auto& { return s.headers.instance; },
+    "From targets: their instance."));
+  add(HeaderField(
+    "stamp",
+    [](S& s) -> auto& { return s.headers.stamp; },
+    "From targets: must be present on a success; empty: not required."));
+}
+
 std::vector<Field<S>>
 BuildSchema()
 {
-  return {
+  std::vector<Field<S>> schema = {
     EndpointField(
       "listen.callers",
       [](S& s) -> auto& { return s.callers; },
@@ -60,6 +120,38 @@
       "listen.admin",
       [](S& s) -> auto& { return s.admin; },
       "Loopback address for announcements, health and metrics."),
+    Parsed<S>(
+      "listen.readiness",
+      "endpoint",
+      [](S& s) -> auto& { return s.readiness; },
+      ParseEndpoint,
+      "Address that answers `/readyz` to others, besides `listen.admin`."),
+    Plain<S>(
+      "service",
+      [](S& s) -> auto& { return s.service; },
+      "Service of the local target; empty: as it announces itself."),
+    Parsed<S>(
+      "target",
+      "endpoint",
+      [](S& s) -> auto& { return s.target; },
+      ParseEndpoint,
+      "Address of the local target, the only one that may announce itself; "
+      "unset: any."),
+    Real<S>(
+      "retry.ratio",
+      [](S& s) -> auto& { return s.retries.ratio; },
+      0,
+      1,
+      "retries per call",
+      "Retries that a first attempt earns at most, whatever service files "
+      "allow."),
+    Integer<S>(
+      "retry.fleet_burst",
+      [](S& s) -> auto& { return s.retries.fleetBurst; },
+      { 0, 1000000 },
+      "retries",
+      "Retries that the fleet may save up for a service at most; each daemon "
+      "has its share."),
     EndpointField(
       "store.address",
       [](S& s) -> auto& { return s.store; },
@@ -139,6 +231,10 @@
       "drain_ms",
       [](S& s) -> auto& { return s.timeouts.drain; },
       "Time that a shutdown waits for calls in flight."),
+    TimeoutField(
+      "leave_ms",
+      [](S& s) -> auto& { return s.timeouts.leave; },
+      "Time for which a shutdown still takes new requests."),
     Integer<S>(
       "control.bytes_per_second",
       [](S& s) -> auto& { return s.control.bytesPerSecond; },
@@ -164,6 +260,8 @@
       "ms",
       "Period of reports to the availability zone's status."),
   };
+  AddHeaders(schema);
+  return schema;
 }
 
 }
--- a/src/baobab/core/toml_entry.cpp
+++ b/src/baobab/core/toml_entry.cpp
@@ -78,6 +78,12 @@
         }
         continue;
       }
+      if (const auto* list = node.as_array(); list && IsTableList(*list)) {
+        if (auto error = this->VisitTables(*list, path)) {
+          return error;
+        }
+        continue;
+      }
       auto value = ReadValue(node);
       if (!value) {
         return Error{
@@ -93,6 +99,23 @@
     return std::nullopt;
   }
 
+  static bool IsTableList(const toml::array& aArray)
+  {
+    return !aArray.empty() && aArray.is_homogeneous<toml::table>();
+  }
+
+  std::optional<Error> VisitTables(const toml::array& aArray,
+                                   const std::string& aPath)
+  {
+    for (std::size_t i = 0; i < aArray.size(); ++i) {
+      const std::string prefix = aPath + "." + std::to_string(i) + ".";
+      if (auto error = this->Visit(*aArray[i].as_table(), prefix)) {
+        return error;
+      }
+    }
+    return std::nullopt;
+  }
+
   std::string_view file;
   std::vector<TomlEntry> entries;
 };
--- a/src/baobab/decision/call_plan.cpp
+++ b/src/baobab/decision/call_plan.cpp
@@ -5,13 +5,16 @@
 namespace baobab {
 namespace {
 
+/// Targets that are asked for one call at most. Each costs a hop.
+constexpr std::int64_t kMostPlacements = 4;
+
 /// How a refusal bears on another attempt.
 enum class RefusalClass : std::uint8_t
 {
   /// Another target would refuse as well.
   Final,
-  /// The call did not reach a target in service, so that another attempt
-  /// adds no load to any.
+  /// The call did not reach a target: its daemon refused it, or nobody
+  /// did. Another attempt adds no load to any target.
   NoLoad,
   /// Another attempt adds load and needs budget.
   Load,
@@ -26,8 +29,10 @@
     case RefusalReason::WrongService:
     case RefusalReason::Fenced:
     case RefusalReason::Unreachable:
-      return RefusalClass::NoLoad;
     case RefusalReason::Overloaded:
+      return RefusalClass::NoLoad;
+    case RefusalReason::Shed:
+    case RefusalReason::WrongInstance:
       return RefusalClass::Load;
     case RefusalReason::Expired:
     case RefusalReason::Quarantined:
@@ -39,6 +44,24 @@
   return RefusalClass::Final;
 }
 
+/// True if another target may do better.
+bool
+IsServerFailure(const Response& aResponse)
+{
+  constexpr unsigned kServerError = 500;
+  constexpr unsigned kGatewayTimeout = 504;
+  return aResponse.status >= kServerError &&
+         aResponse.status != kGatewayTimeout;
+}
+
+/// True if the attempt may have reached a target.
+bool
+MayHaveArrived(const Outcome& aOutcome)
+{
+  const auto* refusal = std::get_if<NotRun>(&aOutcome);
+  return refusal == nullptr || Classify(refusal->reason) == RefusalClass::Load;
+}
+
 }
 
 CallPlan::CallPlan(bool aIdempotent,
@@ -55,10 +78,13 @@
 CallPlan::OnOutcome(Outcome aOutcome, RetryBudget& aBudget, TimePoint aNow)
 {
   ++this->attempts;
-  const bool retry = this->attempts < this->most && aNow < this->deadline &&
-                     this->MayRetry(aOutcome, aBudget);
-  const bool wasUnknown = std::holds_alternative<OutcomeUnknown>(this->result);
-  if (!wasUnknown || std::holds_alternative<Answered>(aOutcome)) {
+  this->arrivals += MayHaveArrived(aOutcome) ? 1 : 0;
+  const bool retry = this->arrivals < this->most &&
+                     this->attempts < kMostPlacements &&
+                     aNow < this->deadline && this->MayRetry(aOutcome, aBudget);
+  // A call of which one attempt ran must not end as "not run".
+  const bool ran = !std::holds_alternative<NotRun>(this->result);
+  if (!ran || std::holds_alternative<Answered>(aOutcome)) {
     this->result = std::move(aOutcome);
   }
   return retry ? PlanStep::Retry : PlanStep::Finish;
@@ -68,7 +94,11 @@
 CallPlan::MayRetry(const Outcome& aOutcome, RetryBudget& aBudget) const
 {
   return std::visit(Overloaded{
-                      [](const Answered&) { return false; },
+                      [&](const Answered& aAnswer) {
+                        return this->idempotent &&
+                               IsServerFailure(aAnswer.response) &&
+                               aBudget.Spend();
+                      },
                       [&](const NotRun& aRefusal) {
                         if (aRefusal.retried) {
                           return false;
--- a/src/baobab/decision/configuration.cpp
+++ b/src/baobab/decision/configuration.cpp
@@ -1,6 +1,7 @@
 #include "baobab/decision/configuration.hpp"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace baobab {
 namespace {
@@ -30,6 +31,14 @@
     ConfiguredService{ aEntry, aText, std::move(Value(parsed)) });
 }
 
+Error
+Gap()
+{
+  return { ErrorKind::MissingKey,
+           "the delta does not lead to the configuration it was made from",
+           "the whole configuration is asked for" };
+}
+
 void
 Replace(Services& aServices, std::shared_ptr<const ConfiguredService> aService)
 {
@@ -53,29 +62,60 @@
                     " is not newer than " + std::to_string(this->generation),
                   "" };
   }
-  if (aDelta.base > this->generation ||
-      aDelta.entries.size() != aDelta.texts.size()) {
-    return Error{ ErrorKind::BadMessage, "the delta leaves a gap", "" };
+  if (aDelta.base > this->generation) {
+    return Gap();
+  }
+  if (aDelta.entries.size() != aDelta.texts.size()) {
+    return Error{ ErrorKind::BadMessage, "the delta lacks files", "" };
   }
-  Configuration next = *this;
+  Configuration next = aDelta.base == 0 ? Configuration() : *this;
   next.generation = aDelta.generation;
   for (std::size_t i = 0; i < aDelta.entries.size(); ++i) {
-    if (aDelta.entries[i].generation <= this->generation) {
+    const ManifestEntry& entry = aDelta.entries[i];
+    if (auto known = this->Known(entry)) {
+      Replace(next.services, std::move(known));
       continue;
     }
-    auto service = Check(aDelta.entries[i], aDelta.texts[i]);
+    auto service = Check(entry, aDelta.texts[i]);
     if (!Succeeded(service)) {
       return Failure(service);
     }
     Replace(next.services, std::move(Value(service)));
   }
+  if (aDelta.digest != 0 && aDelta.digest != next.Digest()) {
+    return Gap();
+  }
   return next;
 }
 
+/// The service of an entry that is in force already.
+std::shared_ptr<const ConfiguredService>
+Configuration::Known(const ManifestEntry& aEntry) const
+{
+  const auto found =
+    std::ranges::lower_bound(this->services, aEntry.name, {}, NameOf);
+  const bool same = found != this->services.end() &&
+                    NameOf(*found) == aEntry.name &&
+                    (*found)->entry.hash == aEntry.hash;
+  return same ? *found : nullptr;
+}
+
+std::uint64_t
+Configuration::Digest() const
+{
+  std::string listed;
+  for (const auto& service : this->services) {
+    if (!service->spec.retired) {
+      listed += service->entry.name + " " + service->entry.hash + "\n";
+    }
+  }
+  return XXH3_64bits(listed.data(), listed.size());
+}
+
 ConfigDelta
 Configuration::Since(std::uint64_t aGeneration) const
 {
-  ConfigDelta delta{ aGeneration, this->generation, {}, {} };
+  ConfigDelta delta{ aGeneration, this->generation, {}, {}, this->Digest() };
   for (const auto& service : this->services) {
     if (service->entry.generation > aGeneration) {
       delta.entries.push_back(service->entry);
--- a/src/baobab/decision/configuration_test.cpp
+++ b/src/baobab/decision/configuration_test.cpp
@@ -65,6 +65,21 @@
   BOOST_TEST(Value(caughtUp).Generation() == 2U);
 }
 
+/// Two sources saw different generations, so one of them has no record of a
+/// service that is gone; the digest tells that its changes are not enough.
+BOOST_AUTO_TEST_CASE(changes_that_miss_a_withdrawn_service_are_refused)
+{
+  const auto old = Value(
+    Value(Configuration().Apply(Delta(0, 1, "a"))).Apply(Delta(1, 2, "b")));
+  const auto source = Value(Configuration().Apply(Delta(0, 3, "a")));
+  const auto missed = old.Apply(source.Since(2));
+  BOOST_REQUIRE(!Succeeded(missed));
+  BOOST_TEST((Failure(missed).kind == ErrorKind::MissingKey));
+  const auto whole = old.Apply(source.Since(0));
+  BOOST_REQUIRE(Succeeded(whole));
+  BOOST_TEST(Value(whole).Services().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/src/baobab/load/runner.cpp
+++ b/src/baobab/load/runner.cpp
@@ -118,7 +118,7 @@
       result.view = CallerView::NotRun;
     } else {
       auto response =
-        client->Exchange(request, kAnswerBytes, this->experiment.timeout);
+        client->Exchange(request, { kAnswerBytes, this->experiment.timeout });
       result.view = View(request, response);
       if (Succeeded(response) && client->Reusable()) {
         this->pools[aArrival.address].push_back(std::move(client));
--- a/src/baobab/net/http_client.cpp
+++ b/src/baobab/net/http_client.cpp
@@ -3,12 +3,33 @@
 #include "http_convert.hpp"
 
 #include <boost/beast/core.hpp>
+#include <charconv>
 
 namespace baobab {
 namespace {
 
 namespace beast = boost::beast;
 
+/// Reads `Keep-Alive: timeout=SECONDS`.
+Duration
+KeepTimeOf(const http::response<http::string_body>& aMessage)
+{
+  constexpr std::string_view kParameter = "timeout=";
+  const auto field = aMessage[http::field::keep_alive];
+  const std::string_view text(field.data(), field.size());
+  const auto place = text.find(kParameter);
+  if (place == std::string_view::npos) {
+    return Duration::max();
+  }
+  std::int64_t seconds = 0;
+  const auto [end, code] =
+    std::from_chars(text.data() + place + kParameter.size(),
+                    text.data() + text.size(),
+                    seconds);
+  return code == std::errc{} && seconds < INT32_MAX ? Duration(Seconds(seconds))
+                                                    : Duration::max();
+}
+
 class BeastClient : public HttpClient
 {
 public:
@@ -19,12 +40,11 @@
   }
 
   Result<Response> Exchange(const Request& aRequest,
-                            std::size_t aAnswerBytes,
-                            Duration aTimeout) override
+                            const ExchangeOptions& aOptions) override
   {
     this->answerBegan = false;
     this->keepAlive = false;
-    this->stream.expires_after(aTimeout);
+    this->stream.expires_after(aOptions.timeout);
     http::request<http::span_body<const char>> message;
     message.method_string(aRequest.method);
     message.target(aRequest.target);
@@ -45,9 +65,24 @@
     if (!written) {
       return this->Fail(written.error);
     }
-    return this->ReadAnswer(aRequest.method, aAnswerBytes);
+    bool discarded = false;
+    while (true) {
+      auto answer = this->ReadAnswer(aRequest.method, aOptions.answerBytes);
+      if (!Succeeded(answer) || !aOptions.belongs ||
+          aOptions.belongs(Value(answer))) {
+        this->keepAlive = this->keepAlive && !discarded;
+        this->stream.expires_never();
+        return answer;
+      }
+      if (!this->keepAlive) {
+        return this->Fail(http::error::end_of_stream);
+      }
+      discarded = true;
+    }
   }
 
+  Duration KeepTime() const override { return this->keepTime; }
+
   bool Reusable() override
   {
     return this->keepAlive && this->buffer.size() == 0 &&
@@ -76,8 +111,8 @@
       return this->Fail(read.error);
     }
     this->keepAlive = parser.keep_alive();
-    this->stream.expires_never();
     http::response<http::string_body> message = parser.release();
+    this->keepTime = KeepTimeOf(message);
     Response response{ message.result_int(), EndToEndHeaders(message), "" };
     response.body = std::move(message.body());
     return response;
@@ -104,6 +139,7 @@
   std::string host;
   bool keepAlive = true;
   bool answerBegan = false;
+  Duration keepTime = Duration::max();
 };
 
 }
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -64,6 +64,7 @@
              const HttpHandler& aHandler,
              HttpGate& aGate)
     : stream(std::move(aSocket))
+    , serverLimits(aLimits)
     , limits(aLimits)
     , handler(aHandler)
     , gate(aGate)
@@ -101,6 +102,8 @@
     if (this->gate.Closing()) {
       return false;
     }
+    this->limits =
+      this->handler.limits ? this->handler.limits() : this->serverLimits;
     if (this->buffer.size() > 0) {
       return true;
     }
@@ -175,13 +178,30 @@
                      std::move(aMessage.body()) };
     const std::string method = request.method;
     ++this->gate.busy;
-    Response response = this->handler.answer(std::move(request));
+    const auto watch = this->WatchCaller();
+    Response response = this->handler.answer(std::move(request), *watch);
+    watch->OnGone(nullptr);
+    beast::error_code ignored;
+    this->stream.cancel(ignored);
     const bool written = this->Write(
       std::move(response), method, version, keepAlive && !this->gate.Closing());
     --this->gate.busy;
     return written && keepAlive && !this->gate.Closing();
   }
 
+  /// Notices when the caller closes its connection during a request.
+  std::shared_ptr<CallerWatch> WatchCaller()
+  {
+    auto watch = std::make_shared<CallerWatch>();
+    this->stream.async_wait(Tcp::socket::wait_read,
+                            [this, watch](beast::error_code aError) {
+                              if (!aError && HasEnded(this->stream)) {
+                                watch->NoteGone();
+                              }
+                            });
+    return watch;
+  }
+
   bool Write(Response aResponse,
              std::string_view aMethod,
              unsigned aVersion,
@@ -244,7 +264,8 @@
 
   Tcp::socket stream;
   beast::flat_buffer buffer;
-  const HttpLimits& limits;
+  const HttpLimits& serverLimits;
+  HttpLimits limits;
   const HttpHandler& handler;
   HttpGate& gate;
   TimePoint limit = TimePoint::max();
@@ -298,12 +319,18 @@
   });
 }
 
+bool
+SameHeader(std::string_view aLeft, std::string_view aRight)
+{
+  return std::ranges::equal(aLeft, aRight, {}, ::tolower, ::tolower);
+}
+
 std::string_view
 FindHeader(const std::vector<HeaderField>& aHeaders, std::string_view aName)
 {
   const auto found =
     std::ranges::find_if(aHeaders, [&](const HeaderField& aField) {
-      return std::ranges::equal(aField.name, aName, {}, ::tolower, ::tolower);
+      return SameHeader(aField.name, aName);
     });
   return found == aHeaders.end() ? std::string_view() : found->value;
 }
--- a/src/baobab/net/http_store.cpp
+++ b/src/baobab/net/http_store.cpp
@@ -149,6 +149,26 @@
   return keys;
 }
 
+Result<std::vector<StoredObject>>
+HttpStore::ReadAll(std::string_view aPrefix)
+{
+  auto keys = this->List(aPrefix);
+  if (!Succeeded(keys)) {
+    return Failure(keys);
+  }
+  std::vector<StoredObject> objects;
+  for (const std::string& key : Value(keys)) {
+    auto object = this->Get(key);
+    if (!Succeeded(object)) {
+      return Failure(object);
+    }
+    if (Value(object)) {
+      objects.push_back(std::move(*Value(object)));
+    }
+  }
+  return objects;
+}
+
 Result<Response>
 HttpStore::Send(const Request& aRequest, Duration aTimeout)
 {
@@ -162,7 +182,8 @@
     this->client = std::move(Value(opened));
   }
   this->sent = true;
-  auto response = this->client->Exchange(aRequest, kLargestObject, aTimeout);
+  auto response =
+    this->client->Exchange(aRequest, { kLargestObject, aTimeout });
   if (!Succeeded(response)) {
     this->client.reset();
     return Unavailable(Failure(response).message);
--- a/src/baobab/net/socket.cpp
+++ b/src/baobab/net/socket.cpp
@@ -19,6 +19,15 @@
 
 constexpr int kBacklog = 4096;
 
+/// Looks for a byte to read without taking it.
+ssize_t
+Peek(Tcp::socket& aSocket)
+{
+  char byte = 0;
+  return ::recv(
+    aSocket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+}
+
 }
 
 Tcp::endpoint
@@ -82,13 +91,17 @@
   return socket;
 }
 
+bool
+HasEnded(Tcp::socket& aSocket)
+{
+  const auto count = Peek(aSocket);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 bool
 IsStale(Tcp::socket& aSocket)
 {
-  char byte = 0;
-  const auto count = ::recv(
-    aSocket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-  return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  return Peek(aSocket) > 0 || HasEnded(aSocket);
 }
 
 }
--- a/src/baobab/node/admin.cpp
+++ b/src/baobab/node/admin.cpp
@@ -1,5 +1,7 @@
 #include "baobab/node/admin.hpp"
 
+#include "baobab/net/log.hpp"
+
 #include <array>
 #include <boost/json.hpp>
 
@@ -8,6 +10,8 @@
 
 namespace json = boost::json;
 
+constexpr std::string_view kChannel = "admin";
+
 constexpr std::size_t kLargestAnnouncement = 4096;
 
 Error
@@ -42,21 +46,58 @@
            : std::string();
 }
 
+/// A whole number, or nothing if it is absent or something else.
+std::optional<std::int64_t>
+NumberMember(const json::object& aObject, std::string_view aName)
+{
+  const auto* value =
+    aObject.if_contains(json::string_view(aName.data(), aName.size()));
+  return value != nullptr && value->is_int64()
+           ? std::optional(value->as_int64())
+           : std::nullopt;
+}
+
+constexpr std::string_view kTargets = "/targets/";
+
 Response
-Announce(const AdminHooks& aHooks, const Request& aRequest)
+Announce(const AdminHooks& aHooks,
+         const Request& aRequest,
+         std::string_view aInstance)
 {
-  auto parsed = ParseAnnouncement(aRequest.body);
+  auto parsed = ParseAnnouncement(aRequest.body, aInstance);
   if (!Succeeded(parsed)) {
+    Log(kChannel, LogLevel::Warning, Describe(Failure(parsed)));
     return TextResponse(400, Describe(Failure(parsed)) + "\n");
   }
   aHooks.announce(Value(parsed));
-  return TextResponse(200, "ok\n");
+  return TextResponse(200, "{}", "application/json");
+}
+
+Response
+ReadinessResponse(bool aReady)
+{
+  return aReady ? TextResponse(200, "ready\n")
+                : TextResponse(503, "not ready\n");
+}
+
+Response
+ServeTarget(const AdminHooks& aHooks, const Request& aRequest)
+{
+  const auto instance = aRequest.target.substr(kTargets.size());
+  if (aRequest.method == "PUT") {
+    return Announce(aHooks, aRequest, instance);
+  }
+  if (aRequest.method == "DELETE") {
+    aHooks.depart(instance);
+    return TextResponse(200, "{}", "application/json");
+  }
+  return TextResponse(405, "use PUT or DELETE\n");
 }
 
 }
 
 Result<TargetAnnouncement>
-ParseAnnouncement(std::string_view aJson)
+ParseAnnouncement(std::string_view aJson, std::string_view aInstance)
 {
   boost::system::error_code error;
   const json::value value =
@@ -90,6 +131,22 @@
   }
   announcement.announcement.slots =
     static_cast<std::uint16_t>(slots->as_int64());
+  announcement.instance = aInstance;
+  if (aInstance.empty()) {
+    return announcement;
+  }
+  const auto sequence = NumberMember(object, "seq");
+  if (!sequence) {
+    return Bad("seq", "give a number that rises with each announcement");
+  }
+  announcement.sequence = *sequence;
+  if (object.contains("born")) {
+    const auto born = NumberMember(object, "born");
+    if (!born) {
+      return Bad("born", "give the start in milliseconds since 1970");
+    }
+    announcement.born = *born;
+  }
   return announcement;
 }
 
@@ -98,16 +155,18 @@
 {
   return {
     [](const HttpHead&) { return kLargestAnnouncement; },
-    [hooks = std::move(aHooks)](Request&& aRequest) {
+    [hooks = std::move(aHooks)](Request&& aRequest, CallerWatch&) {
       if (aRequest.target == "/announce" && aRequest.method == "POST") {
-        return Announce(hooks, aRequest);
+        return Announce(hooks, aRequest, "");
+      }
+      if (aRequest.target.starts_with(kTargets)) {
+        return ServeTarget(hooks, aRequest);
       }
       if (aRequest.target == "/healthz") {
         return TextResponse(200, "ok\n");
       }
       if (aRequest.target == "/readyz") {
-        return hooks.ready() ? TextResponse(200, "ready\n")
-                             : TextResponse(503, "not ready\n");
+        return ReadinessResponse(hooks.ready());
       }
       if (aRequest.target == "/metrics") {
         return TextResponse(200, hooks.metrics(), "text/plain; version=0.0.4");
@@ -118,4 +177,17 @@
   };
 }
 
+HttpHandler
+ReadinessHandler(std::function<bool()> aReady)
+{
+  return {
+    [](const HttpHead&) { return kLargestAnnouncement; },
+    [ready = std::move(aReady)](Request&& aRequest, CallerWatch&) {
+      return aRequest.target == "/readyz" ? ReadinessResponse(ready())
+                                          : TextResponse(404, "no such page\n");
+    },
+    [](HttpFault) { return TextResponse(400, "bad request\n"); },
+  };
+}
+
 }
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -3,6 +3,7 @@
 #include "baobab/core/random.hpp"
 #include "baobab/core/result.hpp"
 #include "baobab/net/clock.hpp"
+#include "baobab/net/http_server.hpp"
 #include "baobab/net/log.hpp"
 #include "baobab/net/worker.hpp"
 
@@ -187,17 +188,73 @@
     return;
   }
   const auto found = this->running.find(aCancel.id);
-  if (found != this->running.end()) {
+  if (found != this->running.end() && !aCancel.waitingOnly) {
     found->second.control.Cancel();
   }
 }
 
 void
-CallServer::Announce(const Announcement& aAnnouncement,
-                     const Endpoint& aAddress)
+CallServer::Announce(const TargetAnnouncement& aAnnouncement)
 {
-  this->target.SetEndpoint(aAddress);
-  this->Settle(this->admission.Announce(aAnnouncement, Now()));
+  const TargetState before = this->admission.State();
+  if (!this->targets.Accept(aAnnouncement)) {
+    Log(kChannel,
+        LogLevel::Debug,
+        "outdated announcement",
+        { { "instance", aAnnouncement.instance } });
+    return;
+  }
+  this->target.SetTarget(aAnnouncement.address, aAnnouncement.instance);
+  this->Settle(this->admission.Announce(aAnnouncement.announcement, Now()));
+  if (this->admission.State() != before) {
+    Log(kChannel,
+        LogLevel::Info,
+        "target state",
+        { { "instance", aAnnouncement.instance },
+          { "state", std::string(Name(this->admission.State())) } });
+  }
+}
+
+void
+CallServer::Depart(std::string_view aInstance)
+{
+  if (!this->targets.Depart(aInstance)) {
+    return;
+  }
+  Announcement gone = this->targets.Current().announcement;
+  gone.state = TargetState::Leaving;
+  this->Settle(this->admission.Announce(gone, Now()));
+  Log(kChannel,
+      LogLevel::Info,
+      "target is gone",
+      { { "instance", std::string(aInstance) } });
+}
+
+void
+CallServer::Discover(std::string_view aService,
+                     const Endpoint& aAddress,
+                     std::string_view aHealthPath)
+{
+  const HeaderNames& names = this->settings.headers;
+  this->target.SetTarget(aAddress, "");
+  const auto health =
+    this->target.AskHealth(aHealthPath, this->settings.timeouts.connect);
+  constexpr unsigned kOk = 200;
+  const bool unannounced = this->admission.State() == TargetState::None;
+  if (!unannounced || !Succeeded(health) || Value(health).status != kOk) {
+    return;
+  }
+  const auto load = ParseLoad(FindHeader(Value(health).headers, names.load));
+  TargetAnnouncement found;
+  found.instance = FindHeader(Value(health).headers, names.instance);
+  if (!load || load->slots == 0 || found.instance.empty()) {
+    return;
+  }
+  found.announcement = { std::string(aService),
+                         load->slots,
+                         TargetState::Ready };
+  found.address = aAddress;
+  this->Announce(found);
 }
 
 void
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -3,7 +3,6 @@
 #include "baobab/decision/rendezvous.hpp"
 #include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
-#include "baobab/net/manifest_json.hpp"
 #include "baobab/net/timeout.hpp"
 #include "baobab/net/worker.hpp"
 
@@ -16,7 +15,6 @@
 constexpr std::string_view kChannel = "config";
 constexpr std::string_view kReaderRole = "config-reader";
 
-constexpr Duration kStoreTime = 3s;
 constexpr Duration kWatchTime = 20s;
 constexpr Duration kRetryPause = 500ms;
 constexpr Duration kRoleCheck = 500ms;
@@ -35,6 +33,7 @@
 }
 
 ConfigAgent::ConfigAgent(boost::asio::io_context& aContext,
+                         std::unique_ptr<ConfigSource> aSource,
                          Membership& aMembership,
                          RoutePublisher& aPublisher,
                          ControlPacer& aPacer,
@@ -44,7 +43,7 @@
   , publisher(aPublisher)
   , pacer(aPacer)
   , settings(aSettings)
-  , store(aContext, aSettings.store, kStoreTime)
+  , source(std::move(aSource))
   , random(EntropySeed())
 {
 }
@@ -117,31 +116,19 @@
 void
 ConfigAgent::ReadStore()
 {
-  auto manifest = this->store.Get(kManifestKey);
-  if (!Succeeded(manifest)) {
-    Log(kChannel, LogLevel::Warning, Describe(Failure(manifest)));
-    return;
-  }
-  if (Value(manifest)) {
-    this->Fetch(*Value(manifest));
-  }
+  this->Take(this->source->Read(*this->publisher.Current()));
 }
 
 void
 ConfigAgent::WatchStore()
 {
   const TimePoint began = Now();
-  auto changed =
-    this->store.Watch(kManifestKey, this->manifestVersion, kWatchTime);
-  if (Succeeded(changed) && Value(changed)) {
-    this->Fetch(*Value(changed));
-    return;
-  }
-  if (!Succeeded(changed)) {
-    Log(kChannel, LogLevel::Warning, Describe(Failure(changed)));
-  }
+  const auto changed =
+    this->source->Watch(*this->publisher.Current(), kWatchTime);
+  this->Take(changed);
   // A watch that ends at once must not become a busy loop.
-  if (Now() - began < kRetryPause) {
+  const bool useful = Succeeded(changed) && Value(changed);
+  if (!useful && Now() - began < kRetryPause) {
     const double spread = 0.5 + Fraction(this->random);
     boost::this_fiber::sleep_for(
       std::chrono::duration_cast<Duration>(kRetryPause * spread));
@@ -149,53 +136,19 @@
 }
 
 void
-ConfigAgent::Fetch(const StoredObject& aManifest)
-{
-  auto manifest = DecodeManifest(aManifest.value);
-  if (!Succeeded(manifest)) {
-    Log(kChannel, LogLevel::Error, Describe(Failure(manifest)));
-    return;
-  }
-  if (Value(manifest).generation <= this->Generation()) {
-    this->manifestVersion = aManifest.version;
-    return;
-  }
-  auto delta = this->FetchChanges(Value(manifest));
-  if (!Succeeded(delta)) {
-    Log(kChannel, LogLevel::Warning, Describe(Failure(delta)));
-    return;
-  }
-  this->manifestVersion = aManifest.version;
-  this->Adopt(Value(delta), "store");
-}
-
-Result<ConfigDelta>
-ConfigAgent::FetchChanges(const Manifest& aManifest)
+ConfigAgent::Take(const Result<std::optional<ConfigDelta>>& aRead)
 {
-  ConfigDelta delta{ this->Generation(), aManifest.generation, {}, {} };
-  for (const ManifestEntry& entry : aManifest.entries) {
-    if (entry.generation <= delta.base) {
-      continue;
-    }
-    auto file = this->store.Get(ServiceFileKey(entry.hash));
-    if (!Succeeded(file)) {
-      return Failure(file);
-    }
-    if (!Value(file)) {
-      return Error{ ErrorKind::NotFound,
-                    "the file of service '" + entry.name + "' is missing",
-                    "publish it again" };
-    }
-    delta.entries.push_back(entry);
-    delta.texts.push_back(std::move(Value(file)->value));
+  if (!Succeeded(aRead)) {
+    Log(kChannel, LogLevel::Warning, Describe(Failure(aRead)));
+  } else if (Value(aRead)) {
+    this->Adopt(*Value(aRead), "store");
   }
-  return delta;
 }
 
 void
 ConfigAgent::Pull(const Endpoint& aPeer)
 {
-  auto delta = this->Request(aPeer);
+  auto delta = this->Request(aPeer, this->Generation());
   if (!Succeeded(delta)) {
     Log(kChannel,
         LogLevel::Debug,
@@ -203,11 +156,18 @@
         { { "peer", ToString(aPeer) }, { "error", Describe(Failure(delta)) } });
     return;
   }
-  this->Adopt(Value(delta), "peer");
+  const auto adopted = this->Adopt(Value(delta), "peer");
+  if (Succeeded(adopted) || Failure(adopted).kind != ErrorKind::MissingKey) {
+    return;
+  }
+  auto whole = this->Request(aPeer, 0);
+  if (Succeeded(whole)) {
+    this->Adopt(Value(whole), "peer");
+  }
 }
 
 Result<ConfigDelta>
-ConfigAgent::Request(const Endpoint& aPeer)
+ConfigAgent::Request(const Endpoint& aPeer, std::uint64_t aSince)
 {
   auto socket = Connect(this->context,
                         aPeer,
@@ -219,7 +179,7 @@
   const auto frames =
     std::make_shared<FrameConnection>(std::move(Value(socket)));
   const auto timer = frames->CloseAfter(kPullTime);
-  frames->Send(ConfigRequestMessage{ this->Generation() });
+  frames->Send(ConfigRequestMessage{ aSince });
   auto reply = frames->Read();
   frames->Close();
   if (!Succeeded(reply)) {
@@ -232,7 +192,7 @@
   return std::move(message->delta);
 }
 
-void
+Result<Done>
 ConfigAgent::Adopt(const ConfigDelta& aDelta, std::string_view aSource)
 {
   auto next = this->publisher.Current()->Apply(aDelta);
@@ -241,7 +201,7 @@
     Log(kChannel,
         stale ? LogLevel::Debug : LogLevel::Error,
         "generation refused: " + Describe(Failure(next)));
-    return;
+    return Failure(next);
   }
   this->publisher.SetConfiguration(
     std::make_shared<const Configuration>(std::move(Value(next))));
@@ -253,6 +213,7 @@
   if (this->onAdopted) {
     this->onAdopted(this->Generation());
   }
+  return Done{};
 }
 
 }
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
+#include "baobab/net/manifest_source.hpp"
 #include "baobab/net/worker.hpp"
 #include "baobab/node/admin.hpp"
 #include "baobab/node/call_server.hpp"
@@ -27,9 +28,8 @@
 constexpr Duration kRefreshPeriod = 50ms;
 constexpr Duration kDrainCheck = 20ms;
 
-/// Time for which a shutdown still answers callers whose requests are on
-/// their way.
-constexpr Duration kGraceTime = 300ms;
+/// Pause between looks for a configuration in which the target stands.
+constexpr Duration kFindPause = 50ms;
 
 constexpr std::size_t kAdminConnections = 256;
 
@@ -77,23 +77,25 @@
 class Daemon
 {
 public:
-  explicit Daemon(const Settings& aSettings)
+  Daemon(const Settings& aSettings,
+         const Platform& aPlatform,
+         std::function<Result<Settings>()> aReload)
     : settings(aSettings)
+    , reload(std::move(aReload))
     , membership(SelfRecord(aSettings),
                  OptionsOf(aSettings),
                  EntropySeed(),
                  Now())
     , pacer(aSettings.control.bytesPerSecond)
-    , publisher(this->membership,
-                this->quarantine,
-                this->routes,
-                aSettings.locality)
+    , publisher(this->membership, this->quarantine, this->routes, aSettings)
     , config(this->control.Context(),
+             aPlatform.openConfig(this->control.Context(), aSettings.store),
              this->membership,
              this->publisher,
              this->pacer,
              aSettings)
     , gossip(this->control.Context(),
+             aPlatform.openStore(this->control.Context(), aSettings.store),
              this->membership,
              this->quarantine,
              this->pacer,
@@ -113,6 +115,7 @@
         aSettings)
     , status(
         this->control.Context(),
+        aPlatform.openStore(this->control.Context(), aSettings.store),
         this->membership,
         this->pacer,
         [this] { return this->Counts(); },
@@ -135,6 +138,8 @@
         Spawn([this] { this->Drain(); });
       }
     });
+    boost::asio::signal_set hangup(this->control.Context(), SIGHUP);
+    this->AwaitReload(hangup);
     this->control.RunHere([this] { this->StartControl(); });
     return Done{};
   }
@@ -153,6 +158,13 @@
       return Failure(adminSocket);
     }
     this->adminAcceptor.emplace(std::move(Value(adminSocket)));
+    if (this->settings.readiness) {
+      auto socket = Listen(context, *this->settings.readiness);
+      if (!Succeeded(socket)) {
+        return Failure(socket);
+      }
+      this->readinessAcceptor.emplace(std::move(Value(socket)));
+    }
     if (auto opened = this->gossip.Open(); !Succeeded(opened)) {
       return opened;
     }
@@ -176,6 +188,7 @@
     };
     this->adminHandler = AdminHandler(
       { [this](const TargetAnnouncement& aTarget) { this->Announce(aTarget); },
+        [this](std::string_view aInstance) { this->Depart(aInstance); },
         [this] { return this->Ready(); },
         [this] { return this->Metrics(); } });
     Spawn([this] { this->gossip.Receive(); });
@@ -193,6 +206,16 @@
                 this->adminHandler,
                 this->adminGate);
     });
+    this->readinessHandler = ReadinessHandler([this] { return this->Ready(); });
+    if (this->readinessAcceptor) {
+      Spawn([this] {
+        ServeHttp(*this->readinessAcceptor,
+                  this->limits,
+                  this->readinessHandler,
+                  this->readinessGate);
+      });
+    }
+    Spawn([this] { this->FindTarget(); });
     this->ingress.Start();
     Log(kChannel,
         LogLevel::Info,
@@ -219,10 +242,70 @@
 
   void Announce(const TargetAnnouncement& aTarget)
   {
-    this->calls.Announce(aTarget.announcement, aTarget.address);
+    const bool foreign =
+      (this->settings.target && *this->settings.target != aTarget.address) ||
+      (!this->settings.service.empty() &&
+       this->settings.service != aTarget.announcement.service);
+    if (foreign) {
+      Log(kChannel,
+          LogLevel::Warning,
+          "announcement of another target",
+          { { "address", ToString(aTarget.address) },
+            { "service", aTarget.announcement.service } });
+      return;
+    }
+    this->calls.Announce(aTarget);
     this->SpreadTargetState();
   }
 
+  void Depart(std::string_view aInstance)
+  {
+    this->calls.Depart(aInstance);
+    this->SpreadTargetState();
+  }
+
+  /// Looks for a target that was running before this daemon started.
+  void FindTarget()
+  {
+    if (!this->settings.target || this->settings.service.empty()) {
+      return;
+    }
+    while (this->calls.State() == TargetState::None && !this->draining) {
+      const auto route = this->RouteOf(this->settings.service);
+      if (route && !route->service->spec.healthPath.empty()) {
+        this->calls.Discover(this->settings.service,
+                             *this->settings.target,
+                             route->service->spec.healthPath);
+        this->SpreadTargetState();
+        return;
+      }
+      boost::this_fiber::sleep_for(kFindPause);
+    }
+  }
+
+  void AwaitReload(boost::asio::signal_set& aSignals)
+  {
+    aSignals.async_wait([this, &aSignals](auto aError, int) {
+      if (!aError) {
+        this->Reload();
+        this->AwaitReload(aSignals);
+      }
+    });
+  }
+
+  /// Checks the settings file again. What can change without a restart is in
+  /// force from here on; a file that does not check out changes nothing.
+  void Reload()
+  {
+    const auto next = this->reload();
+    if (!Succeeded(next)) {
+      Log(kChannel, LogLevel::Error, Describe(Failure(next)));
+      return;
+    }
+    InitLog(Value(next).logFormat, Value(next).logLevel);
+    Log(kChannel, LogLevel::Info, "settings read again");
+  }
+
   /// Tells other daemons about the local target when its state changes.
   void SpreadTargetState()
   {
@@ -346,7 +429,7 @@
     this->calls.StartLeaving();
     this->SpreadTargetState();
     const TimePoint end = Now() + this->settings.timeouts.drain;
-    boost::this_fiber::sleep_for(kGraceTime);
+    boost::this_fiber::sleep_for(this->settings.timeouts.leave);
     this->ingress.StopAccepting();
     while (Now() < end &&
            (this->calls.InFlight() > 0 || this->ingress.Busy() > 0)) {
@@ -359,6 +442,7 @@
   }
 
   const Settings& settings;
+  std::function<Result<Settings>()> reload;
   Worker control;
   Membership membership;
   Quarantine quarantine;
@@ -375,6 +459,9 @@
   HttpLimits limits;
   HttpHandler adminHandler;
   HttpGate adminGate;
+  HttpHandler readinessHandler;
+  HttpGate readinessGate{ kAdminConnections };
+  std::optional<Tcp::acceptor> readinessAcceptor;
   std::optional<Tcp::acceptor> peerAcceptor;
   std::optional<Tcp::acceptor> adminAcceptor;
   bool draining = false;
@@ -382,12 +469,26 @@
 
 }
 
+Platform
+OwnPlatform()
+{
+  static constexpr Duration kStoreTime = 3s;
+  return { [](boost::asio::io_context& aContext, const Endpoint& aStore) {
+            return std::make_unique<HttpStore>(aContext, aStore, kStoreTime);
+          },
+           [](boost::asio::io_context& aContext, const Endpoint& aStore) {
+             return std::make_unique<ManifestSource>(aContext, aStore);
+           } };
+}
+
 Result<Done>
-RunDaemon(const Settings& aSettings)
+RunDaemon(const Settings& aSettings,
+          const Platform& aPlatform,
+          std::function<Result<Settings>()> aReload)
 {
   // Fibers of a stopped daemon still hold references into it, so it is never
   // destroyed; the process ends right after.
-  auto* daemon = new Daemon(aSettings);
+  auto* daemon = new Daemon(aSettings, aPlatform, std::move(aReload));
   return daemon->Run();
 }
 
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -23,7 +23,6 @@
 constexpr std::string_view kSeedRole = "seed-writer";
 
 constexpr Duration kTimerPeriod = 50ms;
-constexpr Duration kStoreTime = 3s;
 constexpr Duration kExchangeTime = 10s;
 
 /// Time between full exchanges while tables agree, and while they do not.
@@ -47,6 +46,7 @@
 }
 
 GossipAgent::GossipAgent(asio::io_context& aContext,
+                         std::unique_ptr<Store> aStore,
                          Membership& aMembership,
                          Quarantine& aQuarantine,
                          ControlPacer& aPacer,
@@ -57,7 +57,7 @@
   , pacer(aPacer)
   , settings(aSettings)
   , socket(aContext)
-  , store(aContext, aSettings.store, kStoreTime)
+  , store(std::move(aStore))
   , random(EntropySeed())
 {
 }
@@ -246,18 +246,15 @@
 void
 GossipAgent::ReadSeeds()
 {
-  auto keys = this->store.List(kSeedPrefix);
-  if (!Succeeded(keys)) {
+  const auto lists = this->store->ReadAll(kSeedPrefix);
+  if (!Succeeded(lists)) {
     Log(kChannel,
         LogLevel::Warning,
-        "no first peers: " + Describe(Failure(keys)));
+        "no first peers: " + Describe(Failure(lists)));
     return;
   }
-  for (const std::string& key : Value(keys)) {
-    auto object = this->store.Get(key);
-    if (Succeeded(object) && Value(object)) {
-      this->GreetAll(Value(object)->value);
-    }
+  for (const StoredObject& list : Value(lists)) {
+    this->GreetAll(list.value);
   }
 }
 
@@ -275,7 +272,7 @@
 {
   const Locality& locality = this->settings.locality;
   const std::string key = SeedKey(locality.region, locality.zone);
-  auto object = this->store.Get(key);
+  auto object = this->store->Get(key);
   if (!Succeeded(object)) {
     return;
   }
@@ -292,7 +289,7 @@
     text += ToString(member) + "\n";
   }
   if (!Value(object) || Value(object)->value != text) {
-    this->store.Put(key, text, condition);
+    this->store->Put(key, text, condition);
   }
 }
 
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
+#include <cstdio>
 #include <deque>
 
 namespace baobab {
@@ -27,6 +29,14 @@
 /// Bytes of a call besides its body and path, for the spill budget.
 constexpr std::int64_t kCallOverhead = 512;
 
+/// Body that a request without a route may have, so that it is read and gets
+/// its answer.
+constexpr std::int64_t kUnroutedBodyBytes = 1 << 20;
+
+/// Time for which an idle connection is kept beyond the configured limit, so
+/// that a request that was sent in time is not met by a close.
+constexpr Duration kIdleMargin = 1s;
+
 /// Latencies of the mean after which a hedge starts.
 constexpr double kHedgeFactor = 3;
 
@@ -38,9 +48,9 @@
 
 /// Time that the caller still gives the call, if it says so.
 std::optional<Millis>
-CallerDeadline(const Request& aRequest)
+CallerDeadline(const Request& aRequest, std::string_view aHeader)
 {
-  const auto text = FindHeader(aRequest.headers, kDeadlineHeader);
+  const auto text = FindHeader(aRequest.headers, aHeader);
   std::int64_t millis = 0;
   const auto [end, code] =
     std::from_chars(text.data(), text.data() + text.size(), millis);
@@ -64,9 +74,10 @@
     case RefusalReason::Unreachable:
     case RefusalReason::WrongService:
     case RefusalReason::Cancelled:
-      return kUnavailable;
     case RefusalReason::Expired:
-      return kGatewayTimeout;
+    case RefusalReason::Shed:
+    case RefusalReason::WrongInstance:
+      return kUnavailable;
     case RefusalReason::Quarantined:
       return kBadGateway;
   }
@@ -92,6 +103,20 @@
   return TextResponse(400, "Not run: this is not a valid HTTP request.\n");
 }
 
+/// Text of a Retry-After header.
+std::string
+RetryAfter(Duration aTime, bool aFractions)
+{
+  const double seconds = std::chrono::duration<double>(aTime).count();
+  if (!aFractions) {
+    return std::to_string(std::max(1, static_cast<int>(std::ceil(seconds))));
+  }
+  char text[16];
+  constexpr double kShortest = 0.05;
+  std::snprintf(text, sizeof text, "%.2f", std::max(kShortest, seconds));
+  return text;
+}
+
 Response
 MarkNotRun(Response aResponse)
 {
@@ -126,53 +151,112 @@
 {
   return {
     [this](const HttpHead& aHead) -> std::size_t {
-      const Route route = this->routes.Read([&](const RouteTable& aTable) {
-        return aTable.Find(aHead.host, aHead.target);
+      return this->routes.Read([&](const RouteTable& aTable) {
+        const auto rule = aTable.Find(aHead.host, aHead.target);
+        const std::int64_t own =
+          rule ? rule->owner->spec.limits.bodyBytes : kUnroutedBodyBytes;
+        return static_cast<std::size_t>(
+          std::min(own, aTable.callers.bodyBytes));
       });
-      return route
-               ? static_cast<std::size_t>(route->service->spec.limits.bodyBytes)
-               : 0;
     },
-    [this](Request&& aRequest) { return this->Answer(std::move(aRequest)); },
+    [this](Request&& aRequest, CallerWatch& aCaller) {
+      return this->Answer(std::move(aRequest), aCaller);
+    },
     [](HttpFault aFault) { return MarkNotRun(FaultResponse(aFault)); },
+    [this] { return this->Limits(); },
+  };
+}
+
+HttpLimits
+Ingress::Limits() const
+{
+  const CallerLimits callers =
+    this->routes.Read([](const RouteTable& aTable) { return aTable.callers; });
+  const Timeouts& timeouts = this->settings.timeouts;
+  return {
+    static_cast<std::size_t>(
+      std::min(this->settings.headerBytes, callers.headerBytes)),
+    std::min<Duration>(timeouts.callerHeader, callers.headerTime),
+    timeouts.callerBody,
+    std::min<Duration>(timeouts.callerIdle, callers.idleTime + kIdleMargin),
   };
 }
 
 Response
-Ingress::Answer(Request&& aRequest)
+Ingress::Answer(Request&& aRequest, CallerWatch& aCaller)
 {
-  Route route = this->routes.Read([&](const RouteTable& aTable) {
+  auto rule = this->routes.Read([&](const RouteTable& aTable) {
     return aTable.Find(HostOf(aRequest), aRequest.target);
   });
-  if (!route) {
-    return MarkNotRun(TextResponse(
-      404, "Not run: no service answers for this host and path.\n"));
+  if (!rule) {
+    return this->Unrouted();
+  }
+  const HeaderField id{
+    this->settings.headers.requestId,
+    std::string(FindHeader(aRequest.headers, this->settings.headers.requestId))
+  };
+  Call call = this->Prepare(std::move(rule), std::move(aRequest));
+  call.caller = &aCaller;
+  if (!call.route) {
+    return NotRunResponse(
+      { RefusalReason::NoTarget, "the route names no service that is known" },
+      this->settings.headers.fractionalRetryAfter);
   }
-  auto [found, added] = this->stats.try_emplace(route->service->spec.name);
-  const Call call = this->Prepare(std::move(route), std::move(aRequest));
+  const auto found =
+    this->stats.try_emplace(call.route->service->spec.name).first;
   call.route->state->retries.Earn();
   Outcome outcome = this->Carry(call, found->second);
-  return this->Conclude(call, std::move(outcome), found->second);
+  Response response = this->Conclude(call, std::move(outcome), found->second);
+  if (!id.value.empty() && FindHeader(response.headers, id.name).empty()) {
+    response.headers.push_back(id);
+  }
+  return response;
+}
+
+/// Answers a request for which there is no route. Without any configuration
+/// nothing is known about routes.
+Response
+Ingress::Unrouted() const
+{
+  const bool configured = this->routes.Read(
+    [](const RouteTable& aTable) { return aTable.generation > 0; });
+  if (!configured) {
+    return NotRunResponse(
+      { RefusalReason::NotReady, "no configuration is known yet" },
+      this->settings.headers.fractionalRetryAfter);
+  }
+  return MarkNotRun(
+    TextResponse(404, "Not run: no service answers for this host and path.\n"));
 }
 
 Ingress::Call
-Ingress::Prepare(Route aRoute, Request&& aRequest) const
+Ingress::Prepare(std::shared_ptr<const Route> aRule, Request&& aRequest)
 {
-  const ServiceSpec& spec = aRoute->service->spec;
+  const HeaderNames& names = this->settings.headers;
   Call call;
   call.began = Now();
-  Duration time = spec.deadline;
-  if (const auto given = CallerDeadline(aRequest)) {
+  Duration time = aRule->spec.timeout;
+  if (const auto given = CallerDeadline(aRequest, names.deadline)) {
     time = std::min<Duration>(time, *given);
   }
-  call.deadline = call.began + time;
-  call.idempotent = IsIdempotent(spec, aRequest.method, aRequest.target);
-  std::erase_if(aRequest.headers, [](const HeaderField& aField) {
-    return IsOwnHeader(aField.name);
+  call.terms.deadline = call.began + time;
+  call.terms.objective = call.began + aRule->spec.objective;
+  call.terms.priority = static_cast<std::uint8_t>(aRule->spec.priority);
+  call.terms.idempotent = IsIdempotent(
+    aRule->spec, aRule->owner->spec, aRequest.method, aRequest.target);
+  std::erase_if(aRequest.headers, [&](const HeaderField& aField) {
+    return IsOwnHeader(aField.name) ||
+           SameHeader(aField.name, names.deadline) ||
+           SameHeader(aField.name, names.callerService) ||
+           SameHeader(aField.name, names.targetInstance);
   });
-  aRequest.service = spec.name;
+  if (!this->settings.service.empty()) {
+    aRequest.headers.push_back({ names.callerService, this->settings.service });
+  }
+  call.route = aRule->Pick(this->random);
+  call.rule = std::move(aRule);
+  aRequest.service = call.route ? call.route->service->spec.name : "";
   call.request = std::move(aRequest);
-  call.route = std::move(aRoute);
   call.suspect = this->routes.Read(
     [&](const RouteTable& aTable) -> std::optional<std::uint64_t> {
       if (aTable.suspects.empty()) {
@@ -190,7 +274,8 @@
 Ingress::Carry(const Call& aCall, ServiceStats& aStats)
 {
   const ServiceSpec& spec = aCall.route->service->spec;
-  CallPlan plan(aCall.idempotent, spec.retry.attempts, aCall.deadline);
+  CallPlan plan(
+    aCall.terms.idempotent, aCall.rule->spec.attempts, aCall.terms.deadline);
   std::vector<Endpoint> tried;
   while (true) {
     const ChosenTarget chosen = this->ChooseFor(aCall, tried);
@@ -200,12 +285,13 @@
     ++aStats.attempts;
     aStats.spilled += chosen.tier == Tier::OtherRegion ? 1 : 0;
     tried.push_back(chosen.target->endpoint);
-    Outcome outcome = aCall.idempotent && spec.hedge.enabled
+    Outcome outcome = aCall.terms.idempotent && spec.hedge.enabled
                         ? this->AttemptHedged(aCall, chosen, tried)
                         : this->Attempt(aCall, chosen);
     if (plan.OnOutcome(std::move(outcome),
                        aCall.route->state->retries,
-                       Now()) == PlanStep::Finish) {
+                       Now()) == PlanStep::Finish ||
+        aCall.caller->Gone()) {
       break;
     }
   }
@@ -237,9 +323,20 @@
   TargetRef& target = *aChosen.target;
   const TimePoint began = Now();
   target.load.Began();
-  AttemptResult result =
-    this->links.To(target.endpoint)
-      ->Run(aCall.request, aCall.idempotent, aCall.deadline, aCancellation);
+  Cancellation own;
+  if (aCancellation == nullptr) {
+    aCancellation = &own;
+    aCall.caller->OnGone([&own] {
+      if (own.cancel) {
+        own.cancel();
+      }
+    });
+  }
+  AttemptResult result = this->links.To(target.endpoint)
+                           ->Run(aCall.request, aCall.terms, aCancellation);
+  if (aCancellation == &own) {
+    aCall.caller->OnGone(nullptr);
+  }
   target.load.Ended();
   this->Learn(aCall, target, result, Now() - began);
   return std::move(result.outcome);
@@ -267,10 +364,18 @@
     });
   };
   start(aChosen);
+  const auto cancelAll = [race] {
+    for (Cancellation& racer : race->started) {
+      if (racer.cancel) {
+        racer.cancel();
+      }
+    }
+  };
+  aCall.caller->OnGone(cancelAll);
   const Duration mean = aCall.route->state->Prior().latency;
   const auto delay = std::chrono::duration_cast<Duration>(mean * kHedgeFactor);
   const bool ended =
-    race->changed.WaitUntil(std::min(aCall.deadline, Now() + delay));
+    race->changed.WaitUntil(std::min(aCall.terms.deadline, Now() + delay));
   if (!ended && aCall.route->state->retries.Spend()) {
     const ChosenTarget second = this->ChooseFor(aCall, aTried);
     if (second.target) {
@@ -284,14 +389,11 @@
          std::ranges::none_of(race->outcomes, answered)) {
     race->changed.Wait();
   }
+  aCall.caller->OnGone(nullptr);
   const auto best = std::ranges::find_if(race->outcomes, answered);
   if (best != race->outcomes.end()) {
     Outcome outcome = std::move(*best);
-    for (Cancellation& loser : race->started) {
-      if (loser.cancel) {
-        loser.cancel();
-      }
-    }
+    cancelAll();
     return outcome;
   }
   // Without an answer, "not run" needs that neither attempt may have run.
@@ -367,7 +469,8 @@
             { { "service", spec.name },
               { "reason", std::string(Name(aRefusal.reason)) },
               { "detail", aRefusal.detail } });
-        return NotRunResponse(aRefusal);
+        return NotRunResponse(aRefusal,
+                              this->settings.headers.fractionalRetryAfter);
       },
       [&](OutcomeUnknown& aUnknown) {
         aStats.Record(CallClass::Unknown, latency);
@@ -383,7 +486,7 @@
 }
 
 Response
-NotRunResponse(const NotRun& aRefusal)
+NotRunResponse(const NotRun& aRefusal, bool aFractions)
 {
   const bool again = aRefusal.reason != RefusalReason::Quarantined;
   const std::string advice =
@@ -392,7 +495,8 @@
   Response response = MarkNotRun(TextResponse(
     StatusOf(aRefusal.reason), "Not run: " + aRefusal.detail + ". " + advice));
   if (again) {
-    response.headers.push_back({ "Retry-After", "1" });
+    response.headers.push_back(
+      { "Retry-After", RetryAfter(aRefusal.retryAfter, aFractions) });
   }
   if (aRefusal.retried) {
     response.headers.push_back({ std::string(kRetriedHeader), "1" });
@@ -403,8 +507,9 @@
 Response
 UnknownResponse(const OutcomeUnknown& aUnknown)
 {
+  const bool late = aUnknown.cause == UnknownCause::DeadlinePassed;
   Response response = TextResponse(
-    kGatewayTimeout,
+    late ? kGatewayTimeout : kBadGateway,
     "Outcome unknown: " + std::string(Describe(aUnknown.cause)) +
       ". The request may have been carried out. Check before sending it "
       "again.\n");
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -37,12 +37,13 @@
 
 AttemptResult
 PeerLink::Run(const Request& aRequest,
-              bool aIdempotent,
-              TimePoint aDeadline,
+              const CallTerms& aTerms,
               Cancellation* aCancellation)
 {
   const CallId id{ this->identity.sender, this->nextSequence++ };
-  Pending pending{ CallAttempt(id, aIdempotent, aDeadline), aRequest };
+  Pending pending{ CallAttempt(id, aTerms.idempotent, aTerms.deadline),
+                   aRequest,
+                   aTerms };
   this->pending.emplace(id.sequence, &pending);
   this->lastUsed = Now();
   if (aCancellation != nullptr) {
@@ -50,7 +51,7 @@
       this->GiveUp(pending, pending.attempt.OnCancelled());
     };
   }
-  if (aDeadline <= this->lastUsed) {
+  if (aTerms.deadline <= this->lastUsed) {
     pending.attempt.OnDeadline();
   } else if (this->ready) {
     this->Perform(pending,
@@ -59,7 +60,8 @@
     this->maintained = true;
     Spawn([self = this->shared_from_this()] { self->Maintain(); });
   }
-  if (!pending.attempt.Result() && !pending.finished.WaitUntil(aDeadline)) {
+  if (!pending.attempt.Result() &&
+      !pending.finished.WaitUntil(aTerms.deadline)) {
     this->GiveUp(pending, pending.attempt.OnDeadline());
   }
   if (aCancellation != nullptr) {
@@ -78,7 +80,8 @@
     return;
   }
   if (this->ready && aPending.attempt.WasSent()) {
-    this->connection->Send(CancelMessage{ aPending.attempt.Id() });
+    this->connection->Send(
+      CancelMessage{ aPending.attempt.Id(), !aPending.terms.idempotent });
   }
   aPending.finished.Notify();
 }
@@ -93,7 +96,9 @@
         attempt.Id(),
         aPending.request,
         std::chrono::duration_cast<Micros>(attempt.Deadline() - Now()),
-        attempt.Idempotent() });
+        attempt.Idempotent(),
+        aPending.terms.priority,
+        std::chrono::duration_cast<Micros>(aPending.terms.objective - Now()) });
       break;
     case AttemptAction::SendAsk:
       this->connection->Send(AskMessage{ attempt.Id(), attempt.SentOn() });
--- a/src/baobab/node/route_publisher.cpp
+++ b/src/baobab/node/route_publisher.cpp
@@ -8,11 +8,12 @@
 RoutePublisher::RoutePublisher(Membership& aMembership,
                                Quarantine& aQuarantine,
                                RcuCell<RouteTable>& aRoutes,
-                               Locality aLocality)
+                               const Settings& aSettings)
   : membership(aMembership)
   , quarantine(aQuarantine)
   , routes(aRoutes)
-  , builder(std::move(aLocality))
+  , caps(aSettings.retries)
+  , builder(aSettings.locality)
   , configuration(std::make_shared<const Configuration>())
 {
 }
@@ -59,6 +60,12 @@
     const auto share = [&](std::int64_t aRate) {
       return ShareOf(aRate, daemons, settled);
     };
+    const std::int64_t burst = std::max<std::int64_t>(
+      std::min<std::int64_t>(1, this->caps.fleetBurst),
+      this->caps.fleetBurst / std::max<std::int64_t>(1, daemons));
+    aRoute->state->retries.Configure(
+      std::min(spec.retry.ratio, this->caps.ratio),
+      std::min(spec.retry.burst, burst));
     aRoute->state->measuring.SetRate(share(spec.measuring.bytesPerSecond));
     aRoute->state->measuringAcross.SetRate(
       share(spec.measuring.crossRegionBytesPerSecond));
--- a/src/baobab/node/route_table.cpp
+++ b/src/baobab/node/route_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <ranges>
 
 namespace baobab {
 namespace {
@@ -14,13 +15,13 @@
   return lower;
 }
 
-using Routes = std::vector<std::shared_ptr<const ServiceRoute>>;
+using Routes = std::vector<std::shared_ptr<const Route>>;
 
-std::shared_ptr<const ServiceRoute>
+std::shared_ptr<const Route>
 LongestPrefix(const Routes& aRoutes, std::string_view aTarget)
 {
   const auto found = std::ranges::find_if(aRoutes, [&](const auto& aRoute) {
-    return aTarget.starts_with(aRoute->service->spec.pathPrefix);
+    return aTarget.starts_with(aRoute->spec.pathPrefix);
   });
   return found == aRoutes.end() ? nullptr : *found;
 }
@@ -30,10 +31,23 @@
 {
   std::ranges::stable_sort(
     aRoutes, std::ranges::greater{}, [](const auto& aRoute) {
-      return aRoute->service->spec.pathPrefix.size();
+      return aRoute->spec.pathPrefix.size();
     });
 }
 
+/// Key under which routes without a host stand.
+const std::string kAnyHost;
+
+/// Takes over the tighter of two limits.
+void
+Tighten(CallerLimits& aLimits, const CallerLimits& aOther)
+{
+  aLimits.headerBytes = std::min(aLimits.headerBytes, aOther.headerBytes);
+  aLimits.bodyBytes = std::min(aLimits.bodyBytes, aOther.bodyBytes);
+  aLimits.headerTime = std::min(aLimits.headerTime, aOther.headerTime);
+  aLimits.idleTime = std::min(aLimits.idleTime, aOther.idleTime);
+}
+
 bool
 IsRoutable(const MemberRecord& aMember)
 {
@@ -45,16 +59,19 @@
 
 }
 
-std::shared_ptr<const ServiceRoute>
+std::shared_ptr<const Route>
 RouteTable::Find(std::string_view aHost, std::string_view aTarget) const
 {
-  const auto named = this->byHost.find(Lower(aHost));
-  if (named != this->byHost.end()) {
+  for (const std::string& host : { Lower(aHost), kAnyHost }) {
+    const auto named = this->byHost.find(host);
+    if (named == this->byHost.end()) {
+      continue;
+    }
     if (auto route = LongestPrefix(named->second, aTarget)) {
       return route;
     }
   }
-  return LongestPrefix(this->anyHost, aTarget);
+  return nullptr;
 }
 
 std::shared_ptr<const ServiceRoute>
@@ -135,26 +152,43 @@
   auto table = std::make_unique<RouteTable>();
   std::ranges::sort(aSuspects);
   table->suspects = std::move(aSuspects);
-  for (const auto& configured : aConfiguration.Services()) {
-    if (configured->spec.retired) {
-      continue;
-    }
-    const auto route = this->RouteOf(configured);
-    table->routes.push_back(route);
-    for (const std::string& host : configured->spec.hosts) {
-      table->byHost[Lower(host)].push_back(route);
-    }
-    if (configured->spec.hosts.empty()) {
-      table->anyHost.push_back(route);
-    }
+  table->generation = aConfiguration.Generation();
+  const auto inForce = [](const auto& aService) {
+    return !aService->spec.retired;
+  };
+  for (const auto& configured :
+       aConfiguration.Services() | std::views::filter(inForce)) {
+    table->routes.push_back(this->RouteOf(configured));
+    Tighten(table->callers, configured->spec.callers);
+  }
+  for (const auto& configured :
+       aConfiguration.Services() | std::views::filter(inForce)) {
+    AddRoutes(*table, configured);
   }
   for (auto& [host, routes] : table->byHost) {
     SortByPrefix(routes);
   }
-  SortByPrefix(table->anyHost);
   return table;
 }
 
+void
+RouteBuilder::AddRoutes(RouteTable& aTable,
+                        const std::shared_ptr<const ConfiguredService>& aOwner)
+{
+  for (RouteSpec& spec : RoutesOf(aOwner->spec)) {
+    auto route = std::make_shared<Route>();
+    std::ranges::transform(
+      spec.parts,
+      std::back_inserter(route->shares),
+      [&](const RoutePart& aPart) {
+        return RouteShare{ aPart.weight, aTable.Find(aPart.service) };
+      });
+    route->spec = std::move(spec);
+    route->owner = aOwner;
+    aTable.byHost[Lower(route->spec.host)].push_back(std::move(route));
+  }
+}
+
 std::shared_ptr<const ServiceRoute>
 RouteBuilder::RouteOf(const std::shared_ptr<const ConfiguredService>& aService)
 {
--- a/src/baobab/node/status_agent.cpp
+++ b/src/baobab/node/status_agent.cpp
@@ -16,8 +16,6 @@
 constexpr std::string_view kChannel = "status";
 constexpr std::string_view kAggregatorRole = "status-aggregator";
 
-constexpr Duration kStoreTime = 3s;
-
 /// Shortest time in which reports are collected before they are stored
 /// together.
 constexpr Duration kCollectTime = 2s;
@@ -49,6 +47,7 @@
 }
 
 StatusAgent::StatusAgent(boost::asio::io_context& aContext,
+                         std::unique_ptr<Store> aStore,
                          const Membership& aMembership,
                          ControlPacer& aPacer,
                          std::function<CountsSinceStart()> aCounts,
@@ -60,7 +59,7 @@
   , counts(std::move(aCounts))
   , generation(std::move(aGeneration))
   , settings(aSettings)
-  , store(aContext, aSettings.store, kStoreTime)
+  , store(std::move(aStore))
   , reporter(EntropySeed())
 {
 }
@@ -145,7 +144,7 @@
       // Another daemon may be folding meanwhile.
       this->loaded = false;
     } else if (this->loaded || this->Load()) {
-      this->Store();
+      this->StoreStatus();
     }
   }
 }
@@ -163,7 +162,7 @@
 StatusAgent::Load()
 {
   const Locality& locality = this->settings.locality;
-  auto object = this->store.Get(StatusKey(locality.region, locality.zone));
+  auto object = this->store->Get(StatusKey(locality.region, locality.zone));
   if (!Succeeded(object)) {
     return false;
   }
@@ -183,7 +182,7 @@
 }
 
 void
-StatusAgent::Store()
+StatusAgent::StoreStatus()
 {
   for (const Unwritten& item : this->unwritten) {
     this->status.Add(item.report, WallClock());
@@ -192,9 +191,9 @@
   const Locality& locality = this->settings.locality;
   const std::string text = EncodeStatus(this->status);
   this->storedBytes = text.size();
-  auto put = this->store.Put(StatusKey(locality.region, locality.zone),
-                             text,
-                             PutCondition{ this->version });
+  auto put = this->store->Put(StatusKey(locality.region, locality.zone),
+                              text,
+                              PutCondition{ this->version });
   if (!Succeeded(put)) {
     // What is stored is read again; reports in it are not counted again.
     this->loaded = false;
--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -5,6 +5,8 @@
 #include "baobab/node/headers.hpp"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 
 namespace baobab {
 namespace {
@@ -24,26 +26,82 @@
   }
 }
 
-/// True if the target says that it did not run this very call. The call's id
-/// proves that the answer was not passed on from a call further down.
+/// True for statuses by which callers understand that nothing was run.
+bool
+PromisesNotRun(unsigned aStatus)
+{
+  constexpr std::array<unsigned, 4> kPromises = { 408, 421, 429, 503 };
+  return std::ranges::find(kPromises, aStatus) != kPromises.end();
+}
+
 bool
-WasShed(const Response& aResponse, const CallId& aId)
+IsSuccess(unsigned aStatus)
 {
-  return aResponse.status == kServiceUnavailable &&
-         FindHeader(aResponse.headers, kNotRunHeader) == ToString(aId);
+  constexpr unsigned kOk = 200;
+  constexpr unsigned kRedirect = 300;
+  return aStatus >= kOk && aStatus < kRedirect;
 }
 
+/// Time before the announced end of an idle connection at which it is no
+/// longer used.
+constexpr Duration kKeepMargin = 1s;
+
+}
+
+std::optional<LoadReport>
+ParseLoad(std::string_view aText)
+{
+  std::array<std::uint16_t, 4> figures{ 0, 0, 0, LoadReport{}.slowness };
+  std::size_t count = 0;
+  const char* place = aText.data();
+  const char* last = place + aText.size();
+  while (count < figures.size() && place != last) {
+    const auto [end, code] = std::from_chars(place, last, figures[count]);
+    if (code != std::errc{}) {
+      return std::nullopt;
+    }
+    ++count;
+    place = end != last && *end == ',' ? end + 1 : last;
+  }
+  constexpr std::size_t kRequired = 3;
+  if (count < kRequired) {
+    return std::nullopt;
+  }
+  return LoadReport{ figures[0], figures[1], figures[2], figures[3] };
 }
 
 void
-TargetClient::SetEndpoint(const Endpoint& aEndpoint)
+TargetClient::SetTarget(const Endpoint& aEndpoint, std::string_view aInstance)
 {
-  if (this->endpoint != aEndpoint) {
+  if (this->endpoint != aEndpoint || this->instance != aInstance) {
     this->endpoint = aEndpoint;
+    this->instance = aInstance;
     this->pool.clear();
   }
 }
 
+Result<Response>
+TargetClient::AskHealth(std::string_view aPath, Duration aTimeout)
+{
+  constexpr std::size_t kLargestHealth = 65536;
+  auto client = this->TakePooled();
+  if (!client) {
+    auto opened = HttpClient::Open(this->context, this->endpoint, aTimeout);
+    if (!Succeeded(opened)) {
+      return Failure(opened);
+    }
+    client = std::move(Value(opened));
+  }
+  Request request;
+  request.method = "GET";
+  request.target = aPath;
+  auto answer = client->Exchange(request, { kLargestHealth, aTimeout });
+  if (Succeeded(answer)) {
+    this->Keep(std::move(client));
+  }
+  return answer;
+}
+
 TargetResult
 TargetClient::Run(const TargetCall& aCall, TargetControl& aControl)
 {
@@ -78,15 +136,28 @@
 TargetClient::TakePooled()
 {
   while (!this->pool.empty()) {
-    auto client = std::move(this->pool.back());
+    Pooled pooled = std::move(this->pool.back());
     this->pool.pop_back();
-    if (client->Reusable()) {
-      return client;
+    if (Now() < pooled.usableUntil && pooled.client->Reusable()) {
+      return std::move(pooled.client);
     }
   }
   return nullptr;
 }
 
+void
+TargetClient::Keep(std::unique_ptr<HttpClient> aClient)
+{
+  const auto most = static_cast<std::size_t>(this->settings.targetConnections);
+  if (this->pool.size() >= most || !aClient->Reusable()) {
+    return;
+  }
+  const Duration kept = aClient->KeepTime();
+  const TimePoint until =
+    kept == Duration::max() ? TimePoint::max() : Now() + kept - kKeepMargin;
+  this->pool.push_back({ std::move(aClient), until });
+}
+
 TargetResult
 TargetClient::Exchange(const TargetCall& aCall,
                        std::unique_ptr<HttpClient> aClient,
@@ -99,9 +170,16 @@
   if (aControl.cancelled) {
     return { NotRun{ RefusalReason::Cancelled, "cancelled" } };
   }
+  ExchangeOptions options{ aCall.answerBytes, left };
+  const std::string& idHeader = this->settings.headers.requestId;
+  const auto id = FindHeader(aCall.request.headers, idHeader);
+  if (!id.empty()) {
+    options.belongs = [&idHeader, id](const Response& aResponse) {
+      return FindHeader(aResponse.headers, idHeader) == id;
+    };
+  }
   aControl.connection = aClient.get();
-  auto response =
-    aClient->Exchange(this->Prepare(aCall), aCall.answerBytes, left);
+  auto response = aClient->Exchange(this->Prepare(aCall), options);
   aControl.connection = nullptr;
   if (!Succeeded(response)) {
     const Error& error = Failure(response);
@@ -109,32 +187,72 @@
              error.kind == ErrorKind::ConnectionLost &&
                !aClient->AnswerBegan() };
   }
-  if (this->pool.size() <
-        static_cast<std::size_t>(this->settings.targetConnections) &&
-      aClient->Reusable()) {
-    this->pool.push_back(std::move(aClient));
+  this->Keep(std::move(aClient));
+  return this->Judge(aCall, std::move(Value(response)));
+}
+
+/// Tells a target's answer from a rejection, and from one that must not reach
+/// the caller as it is.
+TargetResult
+TargetClient::Judge(const TargetCall& aCall, Response aAnswer) const
+{
+  const HeaderNames& names = this->settings.headers;
+  const auto load = ParseLoad(FindHeader(aAnswer.headers, names.load));
+  if (this->WasShed(aAnswer, aCall.id)) {
+    constexpr unsigned kMisdirected = 421;
+    const bool retried = !FindHeader(aAnswer.headers, kRetriedHeader).empty();
+    if (aAnswer.status == kMisdirected) {
+      return { NotRun{ RefusalReason::WrongInstance,
+                       "another target has the address",
+                       retried },
+               false,
+               load };
+    }
+    return { NotRun{ RefusalReason::Shed, "the target shed the call", retried },
+             false,
+             load };
   }
-  Response& answer = Value(response);
-  if (WasShed(answer, aCall.id)) {
-    return { NotRun{ RefusalReason::Overloaded,
-                     "the target shed the call",
-                     !FindHeader(answer.headers, kRetriedHeader).empty() } };
+  const bool unproven = IsSuccess(aAnswer.status) && !names.stamp.empty() &&
+                        FindHeader(aAnswer.headers, names.stamp).empty();
+  const bool falsePromise =
+    names.statusesPromise && PromisesNotRun(aAnswer.status);
+  if (unproven || falsePromise) {
+    return { OutcomeUnknown{ UnknownCause::TargetFailed }, false, load };
   }
-  std::erase_if(answer.headers, [](const HeaderField& aField) {
-    return IsOwnHeader(aField.name);
+  std::erase_if(aAnswer.headers, [&](const HeaderField& aField) {
+    return IsOwnHeader(aField.name) || SameHeader(aField.name, names.load);
   });
-  return { Answered{ std::move(answer) } };
+  return { Answered{ std::move(aAnswer) }, false, load };
+}
+
+/// True if the target says that it did not run this very call. The call's id
+/// proves that the answer was not passed on from a call further down; targets
+/// that never pass the header on need not repeat the id.
+bool
+TargetClient::WasShed(const Response& aResponse, const CallId& aId) const
+{
+  constexpr unsigned kMisdirected = 421;
+  const HeaderNames& names = this->settings.headers;
+  const auto proof = FindHeader(aResponse.headers, names.notRun);
+  if (!names.notRunNamesCall) {
+    return !proof.empty() || aResponse.status == kMisdirected;
+  }
+  return aResponse.status == kServiceUnavailable && proof == ToString(aId);
 }
 
 Request
 TargetClient::Prepare(const TargetCall& aCall) const
 {
+  const HeaderNames& names = this->settings.headers;
   Request request = aCall.request;
   const auto left = std::chrono::duration_cast<Millis>(aCall.deadline - Now());
   request.headers.push_back({ std::string(kCallHeader), ToString(aCall.id) });
   request.headers.push_back(
-    { std::string(kDeadlineHeader),
+    { names.deadline,
       std::to_string(std::max<std::int64_t>(1, left.count())) });
+  if (!this->instance.empty()) {
+    request.headers.push_back({ names.targetInstance, this->instance });
+  }
   return request;
 }
 
--- a/src/baobab/wire/peer_codec.cpp
+++ b/src/baobab/wire/peer_codec.cpp
@@ -83,7 +83,8 @@
   explicit WireLoad(const std::optional<LoadReport>& aLoad)
   {
     if (aLoad) {
-      this->load = fb::Load(aLoad->running, aLoad->queued, aLoad->slots);
+      this->load =
+        fb::Load(aLoad->running, aLoad->queued, aLoad->slots, aLoad->slowness);
       this->present = true;
     }
   }
@@ -101,7 +102,9 @@
   if (aLoad == nullptr) {
     return std::nullopt;
   }
-  return LoadReport{ aLoad->running(), aLoad->queued(), aLoad->slots() };
+  return LoadReport{
+    aLoad->running(), aLoad->queued(), aLoad->slots(), aLoad->slowness()
+  };
 }
 
 Encoded
@@ -142,7 +145,9 @@
                           headers,
                           body,
                           remaining,
-                          aMessage.idempotent)
+                          aMessage.idempotent,
+                          aMessage.priority,
+                          aMessage.objective.count())
              .Union() };
 }
 
@@ -171,12 +176,14 @@
   const WireLoad load(aMessage.load);
   const auto detail = aBuilder.CreateString(aMessage.refusal.detail);
   return { fb::Body::Refusal,
-           fb::CreateRefusal(aBuilder,
-                             &id,
-                             static_cast<std::uint8_t>(aMessage.refusal.reason),
-                             detail,
-                             aMessage.refusal.retried,
-                             load.Get())
+           fb::CreateRefusal(
+             aBuilder,
+             &id,
+             static_cast<std::uint8_t>(aMessage.refusal.reason),
+             detail,
+             aMessage.refusal.retried,
+             load.Get(),
+             static_cast<std::uint64_t>(aMessage.refusal.retryAfter.count()))
              .Union() };
 }
 
@@ -213,7 +220,8 @@
 Encode(Builder& aBuilder, const CancelMessage& aMessage)
 {
   const fb::Id id = ToWire(aMessage.id);
-  return { fb::Body::Cancel, fb::CreateCancel(aBuilder, &id).Union() };
+  return { fb::Body::Cancel,
+           fb::CreateCancel(aBuilder, &id, aMessage.waitingOnly).Union() };
 }
 
 Encoded
@@ -244,10 +252,10 @@
       aBuilder, name, entry.revision, hash, entry.generation, text));
   }
   const auto list = aBuilder.CreateVector(entries);
-  return {
-    fb::Body::ConfigReply,
-    fb::CreateConfigReply(aBuilder, delta.base, delta.generation, list).Union()
-  };
+  return { fb::Body::ConfigReply,
+           fb::CreateConfigReply(
+             aBuilder, delta.base, delta.generation, delta.digest, list)
+             .Union() };
 }
 
 Encoded
@@ -350,6 +358,8 @@
   message.remaining =
     Micros(std::min<std::uint64_t>(aCall.remaining_us(), INT64_MAX / 4000));
   message.idempotent = aCall.idempotent();
+  message.priority = aCall.priority();
+  message.objective = Micros(aCall.objective_us());
   return PeerMessage(std::move(message));
 }
 
@@ -366,13 +376,17 @@
 Result<PeerMessage>
 Decode(const fb::Refusal& aRefusal)
 {
-  if (aRefusal.reason() > static_cast<std::uint8_t>(RefusalReason::Cancelled)) {
+  if (aRefusal.reason() > static_cast<std::uint8_t>(kLastRefusalReason)) {
     return Error{ ErrorKind::BadMessage, "unknown reason of a refusal", "" };
   }
   const auto reason = static_cast<RefusalReason>(aRefusal.reason());
   return PeerMessage(
     RefusalMessage{ FromWire(*aRefusal.id()),
-                    { reason, TextOf(aRefusal.detail()), aRefusal.retried() },
+                    { reason,
+                      TextOf(aRefusal.detail()),
+                      aRefusal.retried(),
+                      Micros(std::min<std::uint64_t>(aRefusal.retry_after_us(),
+                                                     INT64_MAX / 4000)) },
                     DecodeLoad(aRefusal.load()) });
 }
 
@@ -382,6 +396,7 @@
   ConfigReplyMessage message;
   message.delta.base = aReply.base();
   message.delta.generation = aReply.generation();
+  message.delta.digest = aReply.digest();
   if (aReply.entries() != nullptr) {
     for (const fb::ConfigEntry* entry : *aReply.entries()) {
       message.delta.entries.push_back({ entry->name()->str(),
@@ -450,7 +465,8 @@
         ReleaseMessage{ FromWire(*aEnvelope.body_as_Release()->id()) });
     case fb::Body::Cancel:
       return PeerMessage(
-        CancelMessage{ FromWire(*aEnvelope.body_as_Cancel()->id()) });
+        CancelMessage{ FromWire(*aEnvelope.body_as_Cancel()->id()),
+                       aEnvelope.body_as_Cancel()->waiting_only() });
     case fb::Body::Heartbeat:
       return PeerMessage(
         HeartbeatMessage{ aEnvelope.body_as_Heartbeat()->reply() });
--- a/src/bin/baobab_publish.cpp
+++ b/src/bin/baobab_publish.cpp
@@ -164,6 +164,8 @@
 Run(const std::vector<std::string>& aPaths)
 {
   if (PrintReference(FLAGS_print_reference, ServiceSchema())) {
+    std::cout << "\n";
+    PrintReference(true, RouteSchema());
     return 0;
   }
   if (aPaths.empty() || (!FLAGS_check && FLAGS_store.empty())) {
--- /dev/null
+++ b/src/bin/baobab_sidecar.cpp
@@ -0,0 +1,16 @@
+/// @file
+/// The daemon beside each target, on the managed platform.
+#include "daemon_program.hpp"
+#include "platform/platform.hpp"
+
+#include <cstdlib>
+#include <iostream>
+
+int
+main(int aCount, char** aArguments)
+{
+  const int code =
+    DaemonProgram(aCount, aArguments, baobab::platform::ManagedPlatform());
+  std::cout.flush();
+  std::_Exit(code);
+}
--- /dev/null
+++ b/src/bin/daemon_program.cpp
@@ -0,0 +1,67 @@
+#include "daemon_program.hpp"
+
+#include "baobab/core/settings.hpp"
+#include "baobab/net/log.hpp"
+#include "command_line.hpp"
+
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(settings, "", "settings file (TOML)");
+DEFINE_bool(print_reference, false, "print all keys of the file and exit");
+DEFINE_bool(check_settings, false, "check the settings file and exit");
+
+namespace {
+
+constexpr char kUsage[] =
+  "the load balancer's process beside each target\n\n"
+  "  baobabd --settings FILE [--check_settings]\n\n"
+  "Exit codes: 0 stopped after a graceful shutdown, 2 wrong command line or\n"
+  "settings, 3 an address cannot be used.\n"
+  "Signals: SIGTERM and SIGINT start a graceful shutdown, SIGHUP reads the\n"
+  "settings again.";
+
+using namespace baobab;
+
+Result<Settings>
+ReadSettings()
+{
+  const auto text = ReadTextFile(FLAGS_settings);
+  if (!Succeeded(text)) {
+    return Failure(text);
+  }
+  return ParseSettings(Value(text), FLAGS_settings);
+}
+
+int
+Run(const Platform& aPlatform)
+{
+  if (PrintReference(FLAGS_print_reference, SettingsSchema())) {
+    return 0;
+  }
+  const auto settings = ReadSettings();
+  if (!Succeeded(settings)) {
+    std::cerr << Describe(Failure(settings)) << "\n";
+    return kExitUsage;
+  }
+  if (FLAGS_check_settings) {
+    std::cout << FLAGS_settings << ": ok\n";
+    return 0;
+  }
+  InitLog(Value(settings).logFormat, Value(settings).logLevel);
+  const auto ended = RunDaemon(Value(settings), aPlatform, ReadSettings);
+  if (!Succeeded(ended)) {
+    std::cerr << Describe(Failure(ended)) << "\n";
+    return kExitUnavailable;
+  }
+  return 0;
+}
+
+}
+
+int
+DaemonProgram(int aCount, char** aArguments, const Platform& aPlatform)
+{
+  ParseCommandLine(kUsage, BAOBAB_VERSION, aCount, aArguments);
+  return Run(aPlatform);
+}
--- a/testing/capacity_bench.cpp
+++ b/testing/capacity_bench.cpp
@@ -156,7 +156,7 @@
     configuration.Apply(ChangeOf(configuration, aRound % FLAGS_services));
   });
   SplitMix random(1);
-  const auto route = table->Find("service-7.example", "/");
+  const auto route = table->Find("service-7");
   Measure("service found", 1000000, [&](int) {
     table->Find("service-7.example", "/");
   });
--- a/testing/standin.hpp
+++ b/testing/standin.hpp
@@ -41,7 +41,9 @@
   signals.async_wait([&](auto, int) { aWorker.Stop(); });
   const HttpHandler handler{
     [&](const HttpHead&) { return aBodyBytes; },
-    std::move(aAnswer),
+    [answer = std::move(aAnswer)](Request&& aRequest, CallerWatch&) {
+      return answer(std::move(aRequest));
+    },
     [](HttpFault) { return TextResponse(400, "bad request\n"); },
   };
   const HttpLimits limits{ 65536, 60s, 60s, 600s };
