--- a/include/baobab/core/service.hpp
+++ b/include/baobab/core/service.hpp
@@ -15,6 +15,7 @@
 /// How a target is chosen.
 enum class PolicyKind : std::uint8_t
 {
+  ExpectedFinish,
   LoadAware,
   Random,
   RoundRobin,
@@ -83,9 +84,9 @@
 struct ServiceLimits
 {
   std::int64_t bodyBytes = 1 << 20;
-  std::int64_t answerBytes = 4 << 20;
+  std::int64_t answerBytes = 16 << 20;
   std::int64_t queueLength = 64;
-  Millis queueTime{ 100 };
+  Millis queueTime{ 2000 };
 };
 
 struct RetrySpec
@@ -109,7 +110,7 @@
   /// Bytes of load reports and probes a second for the whole fleet.
   std::int64_t bytesPerSecond = 65536;
   /// The part of it that may cross a region link.
-  std::int64_t crossRegionBytesPerSecond = 0;
+  std::int64_t crossRegionBytesPerSecond = 16384;
 };
 
 struct SpillSpec
@@ -152,7 +153,7 @@
   std::int64_t connections = 0;
   CallerLimits callers;
   Millis deadline{ 2000 };
-  PolicyKind policy = PolicyKind::LoadAware;
+  PolicyKind policy = PolicyKind::ExpectedFinish;
   std::vector<std::string> idempotentPaths;
   std::vector<std::string> nonIdempotentPaths;
   std::vector<std::string> claimPaths;
--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -37,6 +37,11 @@
   std::int64_t readersPerZone = 2;
   Millis probePeriod{ 1000 };
   Millis statusPeriod{ 10000 };
+  /// Age of the target's load report from which its health path is asked; 0:
+  /// never.
+  Millis loadProbe{ 0 };
+  /// Time for which a new daemon takes no share in fleet budgets.
+  Millis settling{ 30000 };
 };
 
 /// Names of the headers that callers, targets and daemons exchange.
@@ -68,6 +73,15 @@
   std::string stamp;
 };
 
+/// What it is worth to keep a call near.
+struct PlacementSpec
+{
+  /// Latency that is accepted to keep a megabyte in its availability zone.
+  Millis zonePerMegabyte{ 0 };
+  /// Latency that is accepted to keep a megabyte in its region.
+  Millis regionPerMegabyte{ 0 };
+};
+
 /// Limits on retries that hold whatever a service file allows.
 struct RetryCaps
 {
@@ -91,6 +105,7 @@
   std::optional<Endpoint> target;
   HeaderNames headers;
   RetryCaps retries;
+  PlacementSpec placement;
   /// Address that is announced to other daemons; unset: `peers`.
   std::optional<Endpoint> announced;
   Endpoint admin;
--- a/include/baobab/decision/admission.hpp
+++ b/include/baobab/decision/admission.hpp
@@ -10,10 +10,7 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
-#include <tuple>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -36,6 +33,26 @@
   Duration lapse = 3500ms;
 };
 
+/// What decides about a call's turn.
+struct WaitTerms
+{
+  WaitTerms(TimePoint aDeadline)
+    : deadline(aDeadline)
+  {
+  }
+
+  TimePoint deadline;
+  /// Time until which an answer has its full worth.
+  TimePoint objective = TimePoint::max();
+  /// Rank; 0 goes first.
+  std::uint8_t priority = 0;
+  /// Usual time on an unhurried host; 0: as other calls.
+  Duration work = Duration::zero();
+  /// Time in which another target is believed to finish the call; 0 if there
+  /// is none.
+  Duration alternative = Duration::zero();
+};
+
 /// The call starts now.
 struct StartNow
 {};
@@ -55,6 +72,12 @@
 
 /// Decides which calls run at the local target, which wait and which are
 /// refused. It never runs more at once than the target announced.
+///
+/// Waiting calls start by priority, then those that can still be answered
+/// within their objective, then by objective and deadline. While the host is
+/// slow, a call waits for it to recover if it would otherwise be late. A call
+/// that another target is believed to finish sooner is refused at once, so
+/// that it can be placed there.
 class Admission
 {
 public:
@@ -68,12 +91,19 @@
                                  TimePoint aNow);
 
   /// Decides about a call that arrived.
-  AdmissionAnswer Offer(const CallId& aId, TimePoint aDeadline, TimePoint aNow);
+  AdmissionAnswer Offer(const CallId& aId,
+                        const WaitTerms& aTerms,
+                        TimePoint aNow);
 
   /// A call that was started is over.
   /// @param aServiceTime time the target took for it
   std::vector<Dequeued> Finish(Duration aServiceTime, TimePoint aNow);
 
+  /// Takes over how slow the target's host is now. Waiting calls may start, or
+  /// be refused so that they are placed elsewhere.
+  /// @param aPercent time that work takes, in percent of the usual
+  std::vector<Dequeued> SetSlowness(std::uint16_t aPercent, TimePoint aNow);
+
   /// A call that was started is over without having reached the target.
   std::vector<Dequeued> Abandon(TimePoint aNow);
 
@@ -94,21 +124,24 @@
 private:
   struct Waiting
   {
-    TimePoint deadline;
+    WaitTerms terms;
     TimePoint leaveBy;
     CallId id;
-
-    bool operator<(const Waiting& aOther) const
-    {
-      return std::tie(this->deadline, this->id) <
-             std::tie(aOther.deadline, aOther.id);
-    }
   };
 
   std::optional<NotRun> RefusalForState() const;
-  Duration ExpectedWait(TimePoint aNow) const;
+  /// Time that a call takes once it starts.
+  Duration RunTime(const WaitTerms& aTerms) const;
+  Duration ExpectedWait(const WaitTerms& aTerms, TimePoint aNow) const;
+  bool FasterElsewhere(const WaitTerms& aTerms, TimePoint aNow) const;
+  bool AwaitsRecovery(const WaitTerms& aTerms, TimePoint aNow) const;
+  bool GoesFirst(const Waiting& aLeft,
+                 const Waiting& aRight,
+                 TimePoint aNow) const;
+  NotRun Overload(std::string aDetail, Duration aWait) const;
   std::vector<Dequeued> RefuseAll();
   std::vector<Dequeued> Drain(TimePoint aNow);
+  void DropLate(TimePoint aNow, std::vector<Dequeued>& aLeaving);
 
   AdmissionLimits limits;
   std::string service;
@@ -119,7 +152,9 @@
   TimePoint heardAt;
   /// Moving average of the target's time for a call.
   Duration serviceTime = Duration::zero();
-  std::set<Waiting> queue;
+  /// Slowness of the host; 1 is the usual.
+  double slowness = 1;
+  std::vector<Waiting> queue;
 };
 
 }
--- a/include/baobab/decision/target_load.hpp
+++ b/include/baobab/decision/target_load.hpp
@@ -16,6 +16,8 @@
   /// Calls of other daemons in flight per slot.
   double utilisation = 0;
   Duration latency = Duration::zero();
+  /// Slowness of a host, in parts of the usual time.
+  double slowness = 1;
 };
 
 /// What one daemon knows about the load of one target. Lock-free.
@@ -45,6 +47,21 @@
                    const PeerPrior& aPrior,
                    TimePoint aNow) const;
 
+  /// Records the time that an attempt spent on the way.
+  void MeasuredWay(Duration aRoundTrip);
+
+  /// Round trip to the target's daemon; the default while none is measured.
+  Duration Way(Duration aDefault) const;
+
+  /// Slowness of the target's host as estimated for now; the prior's as the
+  /// report ages.
+  double Slowness(const PeerPrior& aPrior, TimePoint aNow) const;
+
+  /// Time that a call which is sent now takes at the target: its turn in the
+  /// queue, then its work.
+  /// @param aWork time of the call on an unhurried host
+  Duration Finish(Duration aWork, const PeerPrior& aPrior, TimePoint aNow) const;
+
   /// Calls of other daemons per slot, as last reported.
   double OthersPerSlot() const;
 
@@ -59,6 +76,9 @@
   std::atomic<std::int32_t> others{ 0 };
   std::atomic<std::int32_t> slots;
   std::atomic<std::int64_t> reportedAt{ 0 };
+  std::atomic<std::uint16_t> slowness{ 100 };
+  /// Moving average in nanoseconds; 0 if unknown.
+  std::atomic<std::int64_t> way{ 0 };
   /// Moving averages in nanoseconds by band of utilisation; 0 if unknown.
   std::array<std::atomic<std::int64_t>, kBands> latencies{};
   std::array<std::atomic<std::int64_t>, kBands> measuredAt{};
--- a/include/baobab/net/http_server.hpp
+++ b/include/baobab/net/http_server.hpp
@@ -54,8 +54,12 @@
     }
   }
 
+  /// Records that the caller has gone, unless the request is over.
   void NoteGone()
   {
+    if (this->over) {
+      return;
+    }
     this->gone = true;
     if (this->action) {
       this->action();
@@ -64,8 +68,18 @@
 
   bool Gone() const { return this->gone; }
 
+  /// The request is over; nothing is noted any more.
+  void End()
+  {
+    this->over = true;
+    this->action = nullptr;
+  }
+
+  bool Over() const { return this->over; }
+
 private:
   bool gone = false;
+  bool over = false;
   std::function<void()> action;
 };
 
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -27,6 +27,7 @@
   /// Last load report on this connection.
   LoadReport reported;
   TimePoint reportedAt;
+  TimePoint lastCall;
 };
 
 /// Runs the calls that other daemons send for the local target. It belongs to
@@ -67,6 +68,10 @@
                 const Endpoint& aAddress,
                 std::string_view aHealthPath);
 
+  /// Asks the target's health path for its load while it has calls and has
+  /// not reported its load with an answer, until the process ends.
+  void RunLoadProbes();
+
   /// Runs timers; called a few times a second.
   void Tick();
 
@@ -88,21 +93,31 @@
   struct Waiting
   {
     CallMessage call;
+    TimePoint arrived;
     TimePoint deadline;
   };
 
   struct Running
   {
     bool suspect = false;
+    TimePoint arrived;
+    /// Slowness of the host at the start; 1 is the usual.
+    double slowness = 1;
     TargetControl control;
   };
 
   void Decide(CallMessage aCall, TimePoint aDeadline);
   void Settle(const std::vector<Dequeued>& aDequeued);
   void Refuse(const CallId& aId, NotRun aRefusal);
-  void Start(CallMessage aCall, TimePoint aDeadline);
+  void Start(CallMessage aCall, TimePoint aArrived, TimePoint aDeadline);
   void RunCall(const CallMessage& aCall, TimePoint aDeadline);
-  void Conclude(const CallMessage& aCall, TargetResult aResult);
+  void Conclude(const CallMessage& aCall,
+                TargetResult aResult,
+                Micros aWork,
+                Micros aHeld);
+  void TakeLoad(const LoadReport& aLoad);
+  void SpreadLoad();
+  bool Charge(const SenderConnection& aConnection, std::int64_t aBytes);
   bool AnotherSuspectRuns() const;
   void NoteBroken(Fingerprint aFingerprint);
   void CheckForCrash(const std::vector<CallId>& aTogether);
@@ -121,6 +136,9 @@
   std::unordered_map<CallId, Waiting> waiting;
   std::unordered_map<CallId, Running> running;
   std::vector<Fingerprint> broken;
+  /// Last time that the target reported its load, and that a call came.
+  TimePoint loadKnownAt;
+  TimePoint lastCallAt;
 };
 
 }
--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -10,6 +10,7 @@
 #include "baobab/node/target_chooser.hpp"
 
 #include <memory>
+#include <unordered_map>
 
 namespace baobab {
 
@@ -64,9 +65,13 @@
                     Outcome aOutcome,
                     ServiceStats& aStats) const;
 
+  void TakeLoad(const Endpoint& aEndpoint, const LoadReport& aLoad);
+
   const RcuCell<RouteTable>& routes;
   const Settings& settings;
   LinkPool links;
+  /// Targets that were called, for their news.
+  std::unordered_map<Endpoint, std::weak_ptr<TargetRef>> called;
   SplitMix random;
   WorkerStats stats;
 };
--- a/include/baobab/node/link_pool.hpp
+++ b/include/baobab/node/link_pool.hpp
@@ -15,10 +15,12 @@
 public:
   LinkPool(boost::asio::io_context& aContext,
            LinkIdentity aIdentity,
-           const Timeouts& aTimeouts)
+           const Timeouts& aTimeouts,
+           LoadListener aOnLoad)
     : context(aContext)
     , identity(std::move(aIdentity))
     , timeouts(aTimeouts)
+    , onLoad(std::move(aOnLoad))
   {
   }
 
@@ -28,7 +30,7 @@
     auto& link = this->links[aEndpoint];
     if (!link) {
       link = std::make_shared<PeerLink>(
-        this->context, aEndpoint, this->identity, this->timeouts);
+        this->context, aEndpoint, this->identity, this->timeouts, this->onLoad);
     }
     return link;
   }
@@ -37,6 +39,7 @@
   boost::asio::io_context& context;
   LinkIdentity identity;
   const Timeouts& timeouts;
+  LoadListener onLoad;
   std::unordered_map<Endpoint, std::shared_ptr<PeerLink>> links;
 };
 
--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -19,8 +19,15 @@
 {
   Outcome outcome;
   std::optional<LoadReport> load;
+  /// Of an answer: time that the target took, as if its host were unhurried,
+  /// and time from the call's arrival there; 0 if not known.
+  Duration work = Duration::zero();
+  Duration held = Duration::zero();
 };
 
+/// Called when the load of a daemon's target has changed.
+using LoadListener = std::function<void(const Endpoint&, const LoadReport&)>;
+
 /// Lets another fiber of the same thread cancel a running attempt.
 struct Cancellation
 {
@@ -36,6 +43,10 @@
   TimePoint deadline;
   /// Time until which an answer has its full worth.
   TimePoint objective;
+  /// Usual time of the call on an unhurried host; 0 if not known.
+  Duration work = Duration::zero();
+  /// Time in which another target is believed to finish; 0 if there is none.
+  Duration alternative = Duration::zero();
 };
 
 /// Identity of the sending end of a worker's links.
@@ -55,7 +66,8 @@
   PeerLink(boost::asio::io_context& aContext,
            Endpoint aEndpoint,
            LinkIdentity aIdentity,
-           const Timeouts& aTimeouts);
+           const Timeouts& aTimeouts,
+           LoadListener aOnLoad);
 
   /// Runs one attempt; suspends the fiber until its outcome is known or its
   /// deadline passed.
@@ -74,6 +86,8 @@
     const Request& request;
     CallTerms terms;
     std::optional<LoadReport> load;
+    Duration work = Duration::zero();
+    Duration held = Duration::zero();
     Signal finished;
   };
 
@@ -94,6 +108,7 @@
   Endpoint endpoint;
   LinkIdentity identity;
   const Timeouts& timeouts;
+  LoadListener onLoad;
   ConnectionNumber number = 0;
   std::uint64_t nextSequence = 1;
   std::uint64_t incarnation = 0;
--- a/include/baobab/node/route_table.hpp
+++ b/include/baobab/node/route_table.hpp
@@ -8,6 +8,7 @@
 #include "baobab/decision/configuration.hpp"
 #include "baobab/decision/member.hpp"
 #include "baobab/decision/target_load.hpp"
+#include "baobab/node/route_state.hpp"
 #include "baobab/node/service_state.hpp"
 
 #include <algorithm>
@@ -57,6 +58,7 @@
   /// Service whose file declares the route.
   std::shared_ptr<const ConfiguredService> owner;
   std::vector<RouteShare> shares;
+  std::shared_ptr<RouteState> state;
 
   /// Picks a service by weight; null if none of them is configured.
   template<RandomSource R>
@@ -148,14 +150,16 @@
   std::shared_ptr<const ServiceRoute> RouteOf(
     const std::shared_ptr<const ConfiguredService>& aService);
   void Withdraw(const Endpoint& aEndpoint);
-  static void AddRoutes(RouteTable& aTable,
-                        const std::shared_ptr<const ConfiguredService>& aOwner);
+  void AddRoutes(RouteTable& aTable,
+                 const std::shared_ptr<const ConfiguredService>& aOwner);
 
   Locality locality;
   std::vector<std::string> silentRegions;
   std::unordered_map<std::string, Service> services;
   /// Service under which each target stands.
   std::unordered_map<Endpoint, std::string> serviceOf;
+  /// What was learned about routes, by host and path prefix.
+  std::unordered_map<std::string, std::shared_ptr<RouteState>> learned;
 };
 
 }
--- a/include/baobab/node/service_state.hpp
+++ b/include/baobab/node/service_state.hpp
@@ -39,11 +39,21 @@
                            std::memory_order_relaxed);
   }
 
+  /// Takes the slowness of a target's host into the mean.
+  void ObserveSlowness(double aSlowness)
+  {
+    constexpr double kSpan = 64;
+    const double mean = this->meanSlowness.load(std::memory_order_relaxed);
+    this->meanSlowness.store(mean + (aSlowness - mean) / kSpan,
+                             std::memory_order_relaxed);
+  }
+
   PeerPrior Prior() const
   {
     return { this->meanOthers.load(std::memory_order_relaxed),
              std::chrono::nanoseconds(
-               this->meanLatency.load(std::memory_order_relaxed)) };
+               this->meanLatency.load(std::memory_order_relaxed)),
+             this->meanSlowness.load(std::memory_order_relaxed) };
   }
 
   RetryBudget retries;
@@ -57,6 +67,7 @@
 private:
   std::atomic<std::int64_t> meanLatency{ 0 };
   std::atomic<double> meanOthers{ 0 };
+  std::atomic<double> meanSlowness{ 1 };
 };
 
 }
--- a/include/baobab/node/target_chooser.hpp
+++ b/include/baobab/node/target_chooser.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "baobab/core/random.hpp"
+#include "baobab/core/settings.hpp"
 #include "baobab/node/route_table.hpp"
 
 #include <memory>
@@ -14,15 +15,26 @@
 {
   std::shared_ptr<TargetRef> target;
   Tier tier = Tier::SameZone;
+  /// Time in which another target is believed to finish; 0 if there is none.
+  Duration alternative = Duration::zero();
 };
 
-/// Chooses a target by the service's policy in the nearest tier with room.
-/// Returns no target if none may be used now.
+/// What a choice takes into account besides the targets.
+struct ChoiceTerms
+{
+  /// Usual time of the call on an unhurried host.
+  Duration work = std::chrono::milliseconds(50);
+  /// Bytes of request and usual answer, charged if they leave the region.
+  std::int64_t bytes = 0;
+  PlacementSpec placement;
+};
+
+/// Chooses a target by the service's policy. Returns no target if none may be
+/// used now.
 /// @param aTried targets that earlier attempts used
-/// @param aBytes size of the request, charged if it leaves the region
 ChosenTarget ChooseTarget(const ServiceRoute& aRoute,
                           const std::vector<Endpoint>& aTried,
-                          std::int64_t aBytes,
+                          const ChoiceTerms& aTerms,
                           SplitMix& aRandom,
                           TimePoint aNow);
 
--- a/include/baobab/wire/peer_message.hpp
+++ b/include/baobab/wire/peer_message.hpp
@@ -46,6 +46,11 @@
   std::uint8_t priority = 0;
   /// Time left for an answer of full worth; below 0 if it has passed.
   Micros objective{ 0 };
+  /// Expected time of the call on an unhurried host; 0 if not known.
+  Micros work{ 0 };
+  /// Time in which another target is believed to finish it; 0 if there is
+  /// none to hand it back for.
+  Micros alternative{ 0 };
 };
 
 struct AnswerMessage
@@ -53,6 +58,10 @@
   CallId id;
   Response response;
   std::optional<LoadReport> load;
+  /// Time that the target took, as if its host were unhurried.
+  Micros work{ 0 };
+  /// Time from the call's arrival to its answer.
+  Micros held{ 0 };
 };
 
 /// The call was not run and never will be.
@@ -96,6 +105,12 @@
   bool waitingOnly = false;
 };
 
+/// The load of the target has changed.
+struct LoadNewsMessage
+{
+  LoadReport load;
+};
+
 struct HeartbeatMessage
 {
   bool reply = false;
@@ -151,6 +166,7 @@
                                  TableRequestMessage,
                                  MemberListMessage,
                                  BurnReportMessage,
-                                 BurnAckMessage>;
+                                 BurnAckMessage,
+                                 LoadNewsMessage>;
 
 }
--- a/src/baobab/core/service.cpp
+++ b/src/baobab/core/service.cpp
@@ -88,7 +88,8 @@
   add(OneOf<S, PolicyKind>(
     "policy",
     [](S& s) -> auto& { return s.policy; },
-    { { "load_aware", PolicyKind::LoadAware },
+    { { "expected_finish", PolicyKind::ExpectedFinish },
+      { "load_aware", PolicyKind::LoadAware },
       { "random", PolicyKind::Random },
       { "round_robin", PolicyKind::RoundRobin },
       { "least_known", PolicyKind::LeastKnown } },
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -253,6 +253,31 @@
       { 50, 60000 },
       "ms",
       "Period of membership probes."),
+    Time<S>(
+      "control.load_probe_ms",
+      [](S& s) -> auto& { return s.control.loadProbe; },
+      { 0, 60000 },
+      "ms",
+      "Age of the local target's load report from which its health path is "
+      "asked while it has calls; 0: never."),
+    Time<S>(
+      "control.settling_ms",
+      [](S& s) -> auto& { return s.control.settling; },
+      { 0, 600000 },
+      "ms",
+      "Time for which a new daemon takes no share in fleet budgets."),
+    Time<S>(
+      "placement.zone_ms_per_mb",
+      [](S& s) -> auto& { return s.placement.zonePerMegabyte; },
+      { 0, 1000000 },
+      "ms/MB",
+      "Latency that is accepted to keep a megabyte in its availability zone."),
+    Time<S>(
+      "placement.region_ms_per_mb",
+      [](S& s) -> auto& { return s.placement.regionPerMegabyte; },
+      { 0, 1000000 },
+      "ms/MB",
+      "Latency that is accepted to keep a megabyte in its region."),
     Time<S>(
       "control.status_ms",
       [](S& s) -> auto& { return s.control.statusPeriod; },
--- a/src/baobab/decision/admission.cpp
+++ b/src/baobab/decision/admission.cpp
@@ -1,6 +1,7 @@
 #include "baobab/decision/admission.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace baobab {
 namespace {
@@ -8,6 +9,21 @@
 /// Weight of the newest sample in the moving average, as a divisor.
 constexpr int kAverageSpan = 16;
 
+/// Slowness from which it is worth waiting for the host to recover.
+constexpr double kSlow = 2;
+
+/// Time in which a slow host has usually recovered: neighbours that slow a
+/// host down come and go within half a second.
+constexpr Duration kRecovery = 300ms;
+
+/// By how much another target must be believed faster before a call is refused
+/// for its sake: estimates err, and the way there takes time.
+constexpr double kFasterFactor = 1.2;
+constexpr Duration kFasterMargin = 10ms;
+
+/// Shortest advice when to come back.
+constexpr Duration kShortestReturn = 100ms;
+
 /// First usable fraction of the slots of a target that became ready.
 constexpr double kRampStart = 0.1;
 
@@ -36,30 +52,37 @@
 }
 
 AdmissionAnswer
-Admission::Offer(const CallId& aId, TimePoint aDeadline, TimePoint aNow)
+Admission::Offer(const CallId& aId, const WaitTerms& aTerms, TimePoint aNow)
 {
   if (auto refusal = this->RefusalForState()) {
     return *refusal;
   }
-  if (aDeadline <= aNow) {
+  if (aTerms.deadline <= aNow) {
     return NotRun{ RefusalReason::Expired, "the deadline passed on the way" };
   }
-  if (this->running < this->UsableSlots(aNow) && this->queue.empty()) {
+  if (this->FasterElsewhere(aTerms, aNow)) {
+    return this->Overload("another target is believed to finish sooner",
+                          Duration::zero());
+  }
+  const bool recovers = this->AwaitsRecovery(aTerms, aNow);
+  if (this->running < this->UsableSlots(aNow) && this->queue.empty() &&
+      !recovers) {
     ++this->running;
     return StartNow{};
   }
   if (this->queue.size() >= this->limits.queueLength) {
-    return NotRun{ RefusalReason::Overloaded, "the queue is full" };
+    return this->Overload("the queue is full", this->serviceTime);
   }
-  const Duration wait = this->ExpectedWait(aNow);
+  const Duration wait = this->ExpectedWait(aTerms, aNow);
   if (wait > this->limits.queueTime) {
-    return NotRun{ RefusalReason::Overloaded, "the queue is too slow" };
+    return this->Overload("the queue is too slow", wait);
   }
-  if (aNow + wait + this->serviceTime > aDeadline) {
-    return NotRun{ RefusalReason::Overloaded,
-                   "the deadline would pass in the queue" };
+  const Duration finish =
+    recovers ? kRecovery + aTerms.work : wait + this->RunTime(aTerms);
+  if (aNow + finish > aTerms.deadline) {
+    return this->Overload("the deadline would pass in the queue", wait);
   }
-  this->queue.insert({ aDeadline, aNow + this->limits.queueTime, aId });
+  this->queue.push_back({ aTerms, aNow + this->limits.queueTime, aId });
   return Queued{};
 }
 
@@ -91,6 +114,28 @@
   return true;
 }
 
+std::vector<Dequeued>
+Admission::SetSlowness(std::uint16_t aPercent, TimePoint aNow)
+{
+  constexpr double kPercent = 100;
+  const double before = this->slowness;
+  this->slowness = std::max(1.0, aPercent / kPercent);
+  std::vector<Dequeued> leaving;
+  if (this->slowness > before) {
+    std::erase_if(this->queue, [&](const Waiting& aWaiting) {
+      const bool leaves = this->FasterElsewhere(aWaiting.terms, aNow);
+      if (leaves) {
+        leaving.push_back(
+          { aWaiting.id,
+            this->Overload("the host has turned slow", Duration::zero()) });
+      }
+      return leaves;
+    });
+  }
+  std::ranges::move(this->Drain(aNow), std::back_inserter(leaving));
+  return leaving;
+}
+
 std::vector<Dequeued>
 Admission::Tick(TimePoint aNow)
 {
@@ -105,9 +150,11 @@
 LoadReport
 Admission::Report() const
 {
+  constexpr double kPercent = 100;
   return { this->running,
            static_cast<std::uint16_t>(this->queue.size()),
-           this->slots };
+           this->slots,
+           static_cast<std::uint16_t>(this->slowness * kPercent) };
 }
 
 std::uint16_t
@@ -142,10 +189,80 @@
 }
 
 Duration
-Admission::ExpectedWait(TimePoint aNow) const
+Admission::RunTime(const WaitTerms& aTerms) const
+{
+  return aTerms.work == Duration::zero()
+           ? this->serviceTime
+           : std::chrono::duration_cast<Duration>(aTerms.work * this->slowness);
+}
+
+Duration
+Admission::ExpectedWait(const WaitTerms& aTerms, TimePoint aNow) const
 {
   const auto usable = std::max<std::uint16_t>(1, this->UsableSlots(aNow));
-  return this->serviceTime * (this->queue.size() + 1) / usable;
+  if (this->running < usable && this->queue.empty()) {
+    return Duration::zero();
+  }
+  const Waiting entry{ aTerms, TimePoint::max(), {} };
+  const auto ahead =
+    std::ranges::count_if(this->queue, [&](const Waiting& aWaiting) {
+      return !this->GoesFirst(entry, aWaiting, aNow);
+    });
+  return this->serviceTime * (ahead + 1) / usable;
+}
+
+bool
+Admission::FasterElsewhere(const WaitTerms& aTerms, TimePoint aNow) const
+{
+  if (aTerms.alternative == Duration::zero()) {
+    return false;
+  }
+  const Duration here =
+    this->ExpectedWait(aTerms, aNow) + this->RunTime(aTerms);
+  return here > aTerms.alternative * kFasterFactor + kFasterMargin;
+}
+
+/// True if a call that starts now would be late, and one that waits for the
+/// host to recover would probably not.
+bool
+Admission::AwaitsRecovery(const WaitTerms& aTerms, TimePoint aNow) const
+{
+  if (this->slowness < kSlow || aTerms.work == Duration::zero()) {
+    return false;
+  }
+  const TimePoint now = aNow + this->RunTime(aTerms);
+  const TimePoint later = aNow + kRecovery + aTerms.work;
+  const auto helps = [&](TimePoint aBound) {
+    return now > aBound && later <= aBound;
+  };
+  return helps(aTerms.objective) ||
+         (now > aTerms.objective && helps(aTerms.deadline));
+}
+
+bool
+Admission::GoesFirst(const Waiting& aLeft,
+                     const Waiting& aRight,
+                     TimePoint aNow) const
+{
+  const auto rank = [&](const Waiting& aWaiting) {
+    const WaitTerms& terms = aWaiting.terms;
+    const bool hopeless = terms.objective != TimePoint::max() &&
+                          aNow + this->RunTime(terms) > terms.objective;
+    return std::tuple(terms.priority,
+                      hopeless,
+                      hopeless ? terms.deadline : terms.objective,
+                      terms.deadline);
+  };
+  return rank(aLeft) < rank(aRight);
+}
+
+NotRun
+Admission::Overload(std::string aDetail, Duration aWait) const
+{
+  NotRun refusal{ RefusalReason::Overloaded, std::move(aDetail) };
+  refusal.retryAfter = std::chrono::duration_cast<Micros>(
+    std::max<Duration>(kShortestReturn, aWait / 2));
+  return refusal;
 }
 
 std::vector<Dequeued>
@@ -165,23 +282,44 @@
 Admission::Drain(TimePoint aNow)
 {
   std::vector<Dequeued> leaving;
+  this->DropLate(aNow, leaving);
+  while (this->state == TargetState::Ready &&
+         this->running < this->UsableSlots(aNow)) {
+    auto best = this->queue.end();
+    for (auto waiting = this->queue.begin(); waiting != this->queue.end();
+         ++waiting) {
+      const bool better =
+        best == this->queue.end() || this->GoesFirst(*waiting, *best, aNow);
+      if (better && !this->AwaitsRecovery(waiting->terms, aNow)) {
+        best = waiting;
+      }
+    }
+    if (best == this->queue.end()) {
+      break;
+    }
+    leaving.push_back({ best->id, StartNow{} });
+    this->queue.erase(best);
+    ++this->running;
+  }
+  return leaving;
+}
+
+/// Refuses what has waited too long, or can no longer be answered in time.
+void
+Admission::DropLate(TimePoint aNow, std::vector<Dequeued>& aLeaving)
+{
   std::erase_if(this->queue, [&](const Waiting& aWaiting) {
+    const WaitTerms& terms = aWaiting.terms;
+    const Duration least =
+      terms.work == Duration::zero() ? this->serviceTime : terms.work;
     const bool late =
-      aWaiting.leaveBy <= aNow || aNow + this->serviceTime > aWaiting.deadline;
+      aWaiting.leaveBy <= aNow || aNow + least > terms.deadline;
     if (late) {
-      leaving.push_back(
-        { aWaiting.id,
-          NotRun{ RefusalReason::Overloaded, "it waited too long" } });
+      aLeaving.push_back(
+        { aWaiting.id, this->Overload("it waited too long", least) });
     }
     return late;
   });
-  while (this->state == TargetState::Ready && !this->queue.empty() &&
-         this->running < this->UsableSlots(aNow)) {
-    leaving.push_back({ this->queue.begin()->id, StartNow{} });
-    this->queue.erase(this->queue.begin());
-    ++this->running;
-  }
-  return leaving;
 }
 
 }
--- a/src/baobab/decision/target_load.cpp
+++ b/src/baobab/decision/target_load.cpp
@@ -8,6 +8,10 @@
 /// Age at which a report has lost half of its weight.
 constexpr Duration kReportHalfLife = 50ms;
 
+/// Age at which a reported slowness has lost half of its weight. Changes are
+/// reported at once, so that an old report is probably still true.
+constexpr Duration kSlownessHalfLife = 1s;
+
 /// Age at which a measured latency has lost half of its weight.
 constexpr Duration kLatencyHalfLife = 1s;
 
@@ -66,9 +70,53 @@
   if (aReport.slots != 0) {
     this->slots.store(aReport.slots, std::memory_order_relaxed);
   }
+  this->slowness.store(aReport.slowness, std::memory_order_relaxed);
   this->reportedAt.store(Nanos(aNow), std::memory_order_relaxed);
 }
 
+void
+TargetLoad::MeasuredWay(Duration aRoundTrip)
+{
+  const std::int64_t sample = std::max<std::int64_t>(1, aRoundTrip / 1ns);
+  const std::int64_t before = this->way.load(std::memory_order_relaxed);
+  this->way.store(before == 0 ? sample
+                              : before + (sample - before) / kLatencySpan,
+                  std::memory_order_relaxed);
+}
+
+Duration
+TargetLoad::Way(Duration aDefault) const
+{
+  const std::int64_t known = this->way.load(std::memory_order_relaxed);
+  return known == 0 ? aDefault : Duration(std::chrono::nanoseconds(known));
+}
+
+double
+TargetLoad::Slowness(const PeerPrior& aPrior, TimePoint aNow) const
+{
+  constexpr double kPercent = 100;
+  const double weight = Weight(
+    this->reportedAt.load(std::memory_order_relaxed), aNow, kSlownessHalfLife);
+  const double reported =
+    this->slowness.load(std::memory_order_relaxed) / kPercent;
+  return weight * reported + (1 - weight) * aPrior.slowness;
+}
+
+Duration
+TargetLoad::Finish(Duration aWork,
+                   const PeerPrior& aPrior,
+                   TimePoint aNow) const
+{
+  // A nearly full target may be full by the time the call arrives.
+  constexpr double kCrowding = 0.1;
+  const double capacity = this->slots.load(std::memory_order_relaxed);
+  const double used = this->Utilisation(aPrior, aNow) * capacity;
+  const double ahead = std::max(0.0, used + 1 - capacity) / capacity;
+  const double turns = this->Slowness(aPrior, aNow) * (1 + ahead) +
+                       kCrowding * used / capacity;
+  return std::chrono::duration_cast<Duration>(aWork * turns);
+}
+
 double
 TargetLoad::Utilisation(const PeerPrior& aPrior, TimePoint aNow) const
 {
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -180,7 +180,7 @@
     ++this->gate.busy;
     const auto watch = this->WatchCaller();
     Response response = this->handler.answer(std::move(request), *watch);
-    watch->OnGone(nullptr);
+    watch->End();
     beast::error_code ignored;
     this->stream.cancel(ignored);
     const bool written = this->Write(
@@ -195,7 +195,8 @@
     auto watch = std::make_shared<CallerWatch>();
     this->stream.async_wait(Tcp::socket::wait_read,
                             [this, watch](beast::error_code aError) {
-                              if (!aError && HasEnded(this->stream)) {
+                              // After the end of the request the connection may not exist any more.
+        if (!aError && !watch->Over() && HasEnded(this->stream)) {
                                 watch->NoteGone();
                               }
                             });
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -16,8 +16,21 @@
 
 constexpr std::string_view kChannel = "admission";
 
-/// Bytes that a load report adds to a message.
+/// Bytes that a load report adds to a message, and of one on its own.
 constexpr std::int64_t kReportBytes = 12;
+constexpr std::int64_t kNewsBytes = 72;
+
+/// Time after its last call for which a sender is told news of the load.
+constexpr Duration kNewsInterest = 2s;
+
+/// Shortest time between two pieces of news on a connection.
+constexpr Duration kNewsPause = 20ms;
+
+/// Change of the load that is news on its own, as a part of the slots.
+constexpr int kNewsChange = 4;
+
+/// Change of the host's slowness that is news, in percent of itself.
+constexpr int kSlownessChange = 30;
 
 /// Time for which a report is not repeated while it is about true.
 constexpr Duration kReportPause = 100ms;
@@ -28,6 +41,27 @@
 /// Time in which broken connections are taken for one crash.
 constexpr Duration kCrashWindow = 20ms;
 
+/// True if the host has turned notably slower or faster.
+bool
+SlownessChanged(const LoadReport& aBefore, const LoadReport& aReport)
+{
+  constexpr int kPercent = 100;
+  const int change = std::abs(aReport.slowness - aBefore.slowness);
+  return change * kPercent >
+         kSlownessChange * std::min(aReport.slowness, aBefore.slowness);
+}
+
+/// True if a change of the load is worth a message of its own.
+bool
+IsNews(const SenderConnection& aConnection, const LoadReport& aReport)
+{
+  const LoadReport& before = aConnection.reported;
+  const int change =
+    (aReport.running + aReport.queued) - (before.running + before.queued);
+  return SlownessChanged(before, aReport) ||
+         std::abs(change) * kNewsChange > aReport.slots;
+}
+
 /// True if the last report on a connection still says about the same.
 bool
 IsStillTrue(const SenderConnection& aConnection, const LoadReport& aReport)
@@ -36,7 +70,7 @@
   const int change =
     (aReport.running + aReport.queued) - (before.running + before.queued);
   return Now() - aConnection.reportedAt < kReportPause &&
-         aReport.slots == before.slots &&
+         aReport.slots == before.slots && !SlownessChanged(before, aReport) &&
          std::abs(change) * kReportedChange <= aReport.slots;
 }
 
@@ -95,6 +129,10 @@
 CallServer::OnCall(const SenderConnection& aConnection, CallMessage aCall)
 {
   const TimePoint deadline = Now() + aCall.remaining;
+  this->lastCallAt = Now();
+  if (SenderConnection* sender = this->ConnectionOf(aCall.id)) {
+    sender->lastCall = this->lastCallAt;
+  }
   if (!this->ledger.Admit(aCall.id, aConnection.number, deadline)) {
     return;
   }
@@ -136,12 +174,21 @@
   if (route) {
     this->admission.SetLimits(LimitsOf(route->service->spec, this->settings));
   }
-  const AdmissionAnswer answer = this->admission.Offer(id, aDeadline, Now());
+  const TimePoint now = Now();
+  WaitTerms terms(aDeadline);
+  terms.objective = now + aCall.objective;
+  terms.priority = aCall.priority;
+  terms.work = aCall.work;
+  terms.alternative = aCall.alternative;
+  const AdmissionAnswer answer = this->admission.Offer(id, terms, now);
   std::visit(
     Overloaded{
-      [&](const StartNow&) { this->Start(std::move(aCall), aDeadline); },
+      [&](const StartNow&) {
+        this->Start(std::move(aCall), now, aDeadline);
+      },
       [&](const Queued&) {
-        this->waiting.emplace(id, Waiting{ std::move(aCall), aDeadline });
+        this->waiting.emplace(id, Waiting{ std::move(aCall), now, aDeadline });
+        this->SpreadLoad();
       },
       [&](const NotRun& aRefusal) { this->Refuse(id, aRefusal); },
     },
@@ -305,7 +352,7 @@
     if (const auto* refusal = std::get_if<NotRun>(&dequeued.answer)) {
       this->Refuse(dequeued.id, *refusal);
     } else {
-      this->Start(std::move(waiting.call), waiting.deadline);
+      this->Start(std::move(waiting.call), waiting.arrived, waiting.deadline);
     }
   }
 }
@@ -321,7 +368,7 @@
 }
 
 void
-CallServer::Start(CallMessage aCall, TimePoint aDeadline)
+CallServer::Start(CallMessage aCall, TimePoint aArrived, TimePoint aDeadline)
 {
   if (!this->ledger.Start(aCall.id)) {
     this->Settle(this->admission.Abandon(Now()));
@@ -329,7 +376,11 @@
   }
   // The entry stands before the fiber runs, so that a cancel that follows the
   // call at once finds it.
-  this->running.try_emplace(aCall.id);
+  constexpr double kPercent = 100;
+  Running& running = this->running.try_emplace(aCall.id).first->second;
+  running.arrived = aArrived;
+  running.slowness = this->admission.Report().slowness / kPercent;
+  this->SpreadLoad();
   Spawn([this, call = std::move(aCall), aDeadline] {
     this->RunCall(call, aDeadline);
   });
@@ -356,10 +407,17 @@
                        static_cast<std::size_t>(spec.limits.answerBytes) },
                      state.control);
   const bool cancelled = state.control.cancelled;
+  const TimePoint ended = Now();
+  const auto work =
+    std::chrono::duration_cast<Micros>((ended - began) / state.slowness);
+  const auto held = std::chrono::duration_cast<Micros>(ended - state.arrived);
   if (result.broken && !cancelled) {
     this->NoteBroken(fingerprint);
   }
   this->running.erase(aCall.id);
+  if (result.load) {
+    this->TakeLoad(*result.load);
+  }
   this->Settle(std::holds_alternative<NotRun>(result.outcome)
                  ? this->admission.Abandon(Now())
                  : this->admission.Finish(Now() - began, Now()));
@@ -367,11 +425,75 @@
       this->quarantine.Size() > 0) {
     this->quarantine.Completed(fingerprint, Now());
   }
-  this->Conclude(aCall, std::move(result));
+  this->Conclude(aCall, std::move(result), work, held);
+  this->SpreadLoad();
+}
+
+void
+CallServer::TakeLoad(const LoadReport& aLoad)
+{
+  this->loadKnownAt = Now();
+  this->Settle(this->admission.SetSlowness(aLoad.slowness, Now()));
+}
+
+/// Tells senders of a change that matters to their choices.
+void
+CallServer::SpreadLoad()
+{
+  const LoadReport report = this->admission.Report();
+  const TimePoint now = Now();
+  for (auto& [sender, connection] : this->senders) {
+    const bool due = now - connection.lastCall < kNewsInterest &&
+                     now - connection.reportedAt >= kNewsPause;
+    if (!due || !IsNews(connection, report) ||
+        !this->Charge(connection, kNewsBytes)) {
+      continue;
+    }
+    connection.reported = report;
+    connection.reportedAt = now;
+    connection.frames->Send(LoadNewsMessage{ report });
+  }
 }
 
 void
-CallServer::Conclude(const CallMessage& aCall, TargetResult aResult)
+CallServer::RunLoadProbes()
+{
+  const Duration period = this->settings.control.loadProbe;
+  if (period == Duration::zero()) {
+    return;
+  }
+  while (true) {
+    const TimePoint due = this->loadKnownAt + period;
+    const bool busy = Now() - this->lastCallAt < kNewsInterest;
+    if (Now() < due || !busy) {
+      boost::this_fiber::sleep_for(
+        busy ? std::max<Duration>(due - Now(), 1ms) : period);
+      continue;
+    }
+    const auto route = this->lookup(this->admission.Service());
+    this->loadKnownAt = Now();
+    if (!route || route->service->spec.healthPath.empty()) {
+      continue;
+    }
+    const auto health = this->target.AskHealth(
+      route->service->spec.healthPath, this->settings.timeouts.connect);
+    if (!Succeeded(health)) {
+      continue;
+    }
+    const auto load = ParseLoad(
+      FindHeader(Value(health).headers, this->settings.headers.load));
+    if (load) {
+      this->TakeLoad(*load);
+      this->SpreadLoad();
+    }
+  }
+}
+
+void
+CallServer::Conclude(const CallMessage& aCall,
+                     TargetResult aResult,
+                     Micros aWork,
+                     Micros aHeld)
 {
   const CallId& id = aCall.id;
   SenderConnection* connection = this->ConnectionOf(id);
@@ -383,7 +505,9 @@
                  }
                  AnswerMessage message{ id,
                                         std::move(aAnswered.response),
-                                        this->ChargedReport(id) };
+                                        this->ChargedReport(id),
+                                        aWork,
+                                        aHeld };
                  connection->frames->Send(message);
                  this->ledger.Finish(id, std::move(message.response));
                },
@@ -457,17 +581,9 @@
 CallServer::ChargedReport(const CallId& aId)
 {
   SenderConnection* connection = this->ConnectionOf(aId);
-  const auto route = this->lookup(this->admission.Service());
   const LoadReport report = this->admission.Report();
-  if (connection == nullptr || !route || IsStillTrue(*connection, report)) {
-    return std::nullopt;
-  }
-  ServiceState& state = *route->state;
-  if (connection->across &&
-      !state.measuringAcross.Charge(kReportBytes, Now())) {
-    return std::nullopt;
-  }
-  if (!state.measuring.Charge(kReportBytes, Now())) {
+  if (connection == nullptr || IsStillTrue(*connection, report) ||
+      !this->Charge(*connection, kReportBytes)) {
     return std::nullopt;
   }
   connection->reported = report;
@@ -475,6 +591,22 @@
   return report;
 }
 
+/// Charges a report to the service's measuring budgets.
+bool
+CallServer::Charge(const SenderConnection& aConnection, std::int64_t aBytes)
+{
+  const auto route = this->lookup(this->admission.Service());
+  if (!route) {
+    return false;
+  }
+  ServiceState& state = *route->state;
+  const bool crosses = aConnection.across;
+  if (crosses && !state.measuringAcross.Charge(aBytes, Now())) {
+    return false;
+  }
+  return state.measuring.Charge(aBytes, Now());
+}
+
 SenderConnection*
 CallServer::ConnectionOf(const CallId& aId)
 {
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -60,6 +60,7 @@
   options.probePeriod = aSettings.control.probePeriod;
   options.ackTime = options.probePeriod * 3 / 10;
   options.suspicion = options.probePeriod * 4;
+  options.settling = aSettings.control.settling;
   return options;
 }
 
@@ -216,6 +217,7 @@
       });
     }
     Spawn([this] { this->FindTarget(); });
+    Spawn([this] { this->calls.RunLoadProbes(); });
     this->ingress.Start();
     Log(kChannel,
         LogLevel::Info,
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -37,6 +37,9 @@
 /// that a request that was sent in time is not met by a close.
 constexpr Duration kIdleMargin = 1s;
 
+/// Time of a call on an unhurried host while no answer has told it.
+constexpr Duration kUsualWork = 100ms;
+
 /// Latencies of the mean after which a hedge starts.
 constexpr double kHedgeFactor = 3;
 
@@ -141,7 +144,12 @@
                  const Settings& aSettings)
   : routes(aRoutes)
   , settings(aSettings)
-  , links(aContext, std::move(aIdentity), aSettings.timeouts)
+  , links(aContext,
+          std::move(aIdentity),
+          aSettings.timeouts,
+          [this](const Endpoint& aEndpoint, const LoadReport& aLoad) {
+            this->TakeLoad(aEndpoint, aLoad);
+          })
   , random(EntropySeed())
 {
 }
@@ -309,10 +317,27 @@
     return aTried.empty() ? ChooseIsolated(*aCall.route, *aCall.suspect)
                           : ChosenTarget{};
   }
-  const auto bytes = static_cast<std::int64_t>(aCall.request.body.size() +
-                                               aCall.request.target.size()) +
-                     kCallOverhead;
-  return ChooseTarget(*aCall.route, aTried, bytes, this->random, Now());
+  const RouteState& learned = *aCall.rule->state;
+  const ChoiceTerms terms{
+    learned.Work(kUsualWork),
+    static_cast<std::int64_t>(aCall.request.body.size() +
+                              aCall.request.target.size()) +
+      kCallOverhead + learned.AnswerBytes(),
+    this->settings.placement,
+  };
+  return ChooseTarget(*aCall.route, aTried, terms, this->random, Now());
+}
+
+void
+Ingress::TakeLoad(const Endpoint& aEndpoint, const LoadReport& aLoad)
+{
+  const auto found = this->called.find(aEndpoint);
+  if (found == this->called.end()) {
+    return;
+  }
+  if (const auto target = found->second.lock()) {
+    target->load.Report(aLoad, Now());
+  }
 }
 
 Outcome
@@ -323,6 +348,10 @@
   TargetRef& target = *aChosen.target;
   const TimePoint began = Now();
   target.load.Began();
+  this->called[target.endpoint] = aChosen.target;
+  CallTerms terms = aCall.terms;
+  terms.work = aCall.rule->state->Work(Duration::zero());
+  terms.alternative = aChosen.alternative;
   Cancellation own;
   if (aCancellation == nullptr) {
     aCancellation = &own;
@@ -333,7 +362,7 @@
     });
   }
   AttemptResult result = this->links.To(target.endpoint)
-                           ->Run(aCall.request, aCall.terms, aCancellation);
+                           ->Run(aCall.request, terms, aCancellation);
   if (aCancellation == &own) {
     aCall.caller->OnGone(nullptr);
   }
@@ -414,9 +443,16 @@
   if (aResult.load) {
     aTarget.load.Report(*aResult.load, Now());
     state.ObserveOthers(aTarget.load.OthersPerSlot());
+    constexpr double kPercent = 100;
+    state.ObserveSlowness(aResult.load->slowness / kPercent);
   }
   std::visit(Overloaded{
-               [&](const Answered&) {
+               [&](const Answered& aAnswer) {
+                 if (aResult.held > Duration::zero()) {
+                   aTarget.load.MeasuredWay(aLatency - aResult.held);
+                   aCall.rule->state->Observe(aResult.work,
+                                              aAnswer.response.body.size());
+                 }
                  aTarget.breaker.Succeeded();
                  aTarget.load.Measured(aLatency, Now());
                  state.Observe(aLatency);
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -27,11 +27,13 @@
 PeerLink::PeerLink(boost::asio::io_context& aContext,
                    Endpoint aEndpoint,
                    LinkIdentity aIdentity,
-                   const Timeouts& aTimeouts)
+                   const Timeouts& aTimeouts,
+                   LoadListener aOnLoad)
   : context(aContext)
   , endpoint(aEndpoint)
   , identity(std::move(aIdentity))
   , timeouts(aTimeouts)
+  , onLoad(std::move(aOnLoad))
 {
 }
 
@@ -68,7 +70,9 @@
     aCancellation->cancel = nullptr;
   }
   this->pending.erase(id.sequence);
-  return { *pending.attempt.Result(), pending.load };
+  return {
+    *pending.attempt.Result(), pending.load, pending.work, pending.held
+  };
 }
 
 /// Ends an attempt whose outcome is no longer waited for, and tells the
@@ -98,7 +102,9 @@
         std::chrono::duration_cast<Micros>(attempt.Deadline() - Now()),
         attempt.Idempotent(),
         aPending.terms.priority,
-        std::chrono::duration_cast<Micros>(aPending.terms.objective - Now()) });
+        std::chrono::duration_cast<Micros>(aPending.terms.objective - Now()),
+        std::chrono::duration_cast<Micros>(aPending.terms.work),
+        std::chrono::duration_cast<Micros>(aPending.terms.alternative) });
       break;
     case AttemptAction::SendAsk:
       this->connection->Send(AskMessage{ attempt.Id(), attempt.SentOn() });
@@ -198,6 +204,8 @@
         this->connection->Send(ReleaseMessage{ aAnswer.id });
         with(aAnswer.id, [&](Pending& aPending) {
           aPending.load = aAnswer.load;
+          aPending.work = aAnswer.work;
+          aPending.held = aAnswer.held;
           return aPending.attempt.OnAnswer(std::move(aAnswer.response));
         });
       },
@@ -216,6 +224,11 @@
         with(aRunning.id,
              [](Pending& aPending) { return aPending.attempt.OnRunning(); });
       },
+      [&](const LoadNewsMessage& aNews) {
+        if (this->onLoad) {
+          this->onLoad(this->endpoint, aNews.load);
+        }
+      },
       [](auto&) {},
     },
     aMessage);
--- a/src/baobab/node/route_table.cpp
+++ b/src/baobab/node/route_table.cpp
@@ -163,7 +163,7 @@
   }
   for (const auto& configured :
        aConfiguration.Services() | std::views::filter(inForce)) {
-    AddRoutes(*table, configured);
+    this->AddRoutes(*table, configured);
   }
   for (auto& [host, routes] : table->byHost) {
     SortByPrefix(routes);
@@ -183,6 +183,11 @@
       [&](const RoutePart& aPart) {
         return RouteShare{ aPart.weight, aTable.Find(aPart.service) };
       });
+    auto& state = this->learned[spec.host + spec.pathPrefix];
+    if (!state) {
+      state = std::make_shared<RouteState>();
+    }
+    route->state = state;
     route->spec = std::move(spec);
     route->owner = aOwner;
     aTable.byHost[Lower(route->spec.host)].push_back(std::move(route));
--- a/src/baobab/node/route_table_test.cpp
+++ b/src/baobab/node/route_table_test.cpp
@@ -102,7 +102,7 @@
   route.state->spill.SetRate(1 << 20);
   SplitMix random(1);
   const auto tier = [&] {
-    return ChooseTarget(route, {}, 600, random, kNow).tier;
+    return ChooseTarget(route, {}, { 100ms, 600 }, random, kNow).tier;
   };
   BOOST_TEST((tier() == Tier::SameZone));
   Fill(*route.tiers[0][0]);
@@ -121,9 +121,9 @@
   const ServiceRoute& route = *table->routes[0];
   route.tiers[0][0]->breaker.HoldBack(kNow, 1s);
   SplitMix random(1);
-  BOOST_TEST(ChooseTarget(route, {}, 0, random, kNow).target != nullptr);
+  BOOST_TEST(ChooseTarget(route, {}, {}, random, kNow).target != nullptr);
   const std::vector<Endpoint> tried{ { 1, 7100 } };
-  BOOST_TEST(ChooseTarget(route, tried, 0, random, kNow).target == nullptr);
+  BOOST_TEST(ChooseTarget(route, tried, {}, random, kNow).target == nullptr);
 }
 
 BOOST_AUTO_TEST_CASE(a_suspect_runs_on_one_target)
--- a/src/baobab/node/target_chooser.cpp
+++ b/src/baobab/node/target_chooser.cpp
@@ -1,8 +1,10 @@
 #include "baobab/node/target_chooser.hpp"
 
+#include "baobab/decision/finish_choice.hpp"
 #include "baobab/decision/rendezvous.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace baobab {
 namespace {
@@ -10,6 +12,12 @@
 /// Utilisation below which a tier counts as having room.
 constexpr double kRoom = 0.95;
 
+/// Targets of a tier that are compared for one call.
+constexpr std::size_t kMostCompared = 16;
+
+/// Round trips to daemons that were not called yet, by tier.
+constexpr std::array<Duration, kTierCount> kUsualWays = { 500us, 3ms, 25ms };
+
 using Targets = std::vector<std::shared_ptr<TargetRef>>;
 
 class Chooser
@@ -27,7 +35,100 @@
   {
   }
 
-  ChosenTarget Choose(std::int64_t aBytes)
+  ChosenTarget Choose(const ChoiceTerms& aTerms)
+  {
+    return this->route.service->spec.policy == PolicyKind::ExpectedFinish
+             ? this->ChooseByFinish(aTerms)
+             : this->ChooseByTier(aTerms.bytes);
+  }
+
+  /// Chooses as if no target were held back. With all of them held back, an
+  /// attempt costs less than a refusal.
+  ChosenTarget ChooseAnyway(const ChoiceTerms& aTerms)
+  {
+    this->ignoreBreakers = true;
+    return this->Choose(aTerms);
+  }
+
+private:
+  /// Compares the expected finish on targets of all tiers.
+  ChosenTarget ChooseByFinish(const ChoiceTerms& aTerms)
+  {
+    std::vector<Candidate> candidates;
+    std::vector<ChosenTarget> targets;
+    for (const Tier tier :
+         { Tier::SameZone, Tier::SameRegion, Tier::OtherRegion }) {
+      if (tier != Tier::OtherRegion ||
+          this->route.service->spec.spill.crossRegion) {
+        this->AddCandidates(tier, aTerms, candidates, targets);
+      }
+    }
+    while (!candidates.empty()) {
+      const auto choice = ChooseFirstToFinish(candidates, this->random);
+      ChosenTarget& chosen = targets[choice->index];
+      if (this->MayUse(chosen, aTerms)) {
+        chosen.alternative = choice->alternative.value_or(Duration::zero());
+        return std::move(chosen);
+      }
+      const auto place = static_cast<std::ptrdiff_t>(choice->index);
+      candidates.erase(candidates.begin() + place);
+      targets.erase(targets.begin() + place);
+    }
+    return {};
+  }
+
+  bool MayUse(const ChosenTarget& aChosen, const ChoiceTerms& aTerms)
+  {
+    if (!this->ignoreBreakers &&
+        !aChosen.target->breaker.TryPass(this->now)) {
+      return false;
+    }
+    return aChosen.tier != Tier::OtherRegion ||
+           this->route.state->spill.Charge(aTerms.bytes, this->now);
+  }
+
+  void AddCandidates(Tier aTier,
+                     const ChoiceTerms& aTerms,
+                     std::vector<Candidate>& aCandidates,
+                     std::vector<ChosenTarget>& aTargets)
+  {
+    const auto tier = static_cast<std::size_t>(aTier);
+    const Targets& targets = this->route.tiers[tier];
+    const std::size_t count = std::min(targets.size(), kMostCompared);
+    const std::size_t start =
+      targets.empty() ? 0 : Below(this->random, targets.size());
+    for (std::size_t i = 0; i < count; ++i) {
+      const auto& target = targets[(start + i) % targets.size()];
+      if (!this->Usable(*target)) {
+        continue;
+      }
+      aCandidates.push_back(
+        { target->load.Way(kUsualWays[tier]) +
+            target->load.Finish(aTerms.work, this->prior, this->now),
+          PenaltyOf(aTier, aTerms) });
+      aTargets.push_back({ target, aTier });
+    }
+  }
+
+  static Duration PenaltyOf(Tier aTier, const ChoiceTerms& aTerms)
+  {
+    constexpr double kMegabyte = 1e6;
+    const double megabytes = static_cast<double>(aTerms.bytes) / kMegabyte;
+    const PlacementSpec& placement = aTerms.placement;
+    switch (aTier) {
+      case Tier::SameZone:
+        return Duration::zero();
+      case Tier::SameRegion:
+        return std::chrono::duration_cast<Duration>(placement.zonePerMegabyte *
+                                                    megabytes);
+      case Tier::OtherRegion:
+        break;
+    }
+    return std::chrono::duration_cast<Duration>(placement.regionPerMegabyte *
+                                                megabytes);
+  }
+
+  ChosenTarget ChooseByTier(std::int64_t aBytes)
   {
     ChosenTarget fallback;
     for (const Tier tier : { Tier::SameZone, Tier::SameRegion }) {
@@ -47,15 +148,6 @@
                   : fallback;
   }
 
-  /// Chooses as if no target were held back. With all of them held back, an
-  /// attempt costs less than a refusal.
-  ChosenTarget ChooseAnyway(std::int64_t aBytes)
-  {
-    this->ignoreBreakers = true;
-    return this->Choose(aBytes);
-  }
-
-private:
   std::shared_ptr<TargetRef> ChooseAbroad(bool aOnlyChance, std::int64_t aBytes)
   {
     if (!this->route.service->spec.spill.crossRegion) {
@@ -95,6 +187,7 @@
       case PolicyKind::LeastKnown:
         return LeastKnownChoice{}.Choose(aCount, aView, this->random);
       case PolicyKind::LoadAware:
+      case PolicyKind::ExpectedFinish:
         break;
     }
     return LoadAwareChoice{}.Choose(aCount, aView, this->random);
@@ -103,12 +196,16 @@
   TargetView ViewOf(const TargetRef& aTarget) const
   {
     const double utilisation = aTarget.load.Utilisation(this->prior, this->now);
-    const bool usable =
-      (this->ignoreBreakers || !aTarget.breaker.IsOpen(this->now)) &&
-      std::ranges::find(this->tried, aTarget.endpoint) == this->tried.end();
     return { utilisation,
              aTarget.load.Latency(utilisation, this->prior, this->now),
-             usable };
+             this->Usable(aTarget) };
+  }
+
+  bool Usable(const TargetRef& aTarget) const
+  {
+    return (this->ignoreBreakers || !aTarget.breaker.IsOpen(this->now)) &&
+           std::ranges::find(this->tried, aTarget.endpoint) ==
+             this->tried.end();
   }
 
   bool HasRoom(const TargetRef& aTarget) const
@@ -135,13 +232,13 @@
 ChosenTarget
 ChooseTarget(const ServiceRoute& aRoute,
              const std::vector<Endpoint>& aTried,
-             std::int64_t aBytes,
+             const ChoiceTerms& aTerms,
              SplitMix& aRandom,
              TimePoint aNow)
 {
   Chooser chooser(aRoute, aTried, aRandom, aNow);
-  const ChosenTarget chosen = chooser.Choose(aBytes);
-  return chosen.target ? chosen : chooser.ChooseAnyway(aBytes);
+  const ChosenTarget chosen = chooser.Choose(aTerms);
+  return chosen.target ? chosen : chooser.ChooseAnyway(aTerms);
 }
 
 ChosenTarget
--- a/src/baobab/wire/peer_codec.cpp
+++ b/src/baobab/wire/peer_codec.cpp
@@ -22,6 +22,19 @@
   flatbuffers::Offset<void> offset;
 };
 
+/// A duration on the wire; a negative one has passed and counts as none.
+std::uint64_t
+Unsigned(Micros aTime)
+{
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, aTime.count()));
+}
+
+Micros
+ToMicros(std::uint64_t aTime)
+{
+  return Micros(std::min<std::uint64_t>(aTime, INT64_MAX / 4000));
+}
+
 fb::Id
 ToWire(const CallId& aId)
 {
@@ -134,8 +147,7 @@
   const auto target = aBuilder.CreateString(request.target);
   const auto headers = EncodeHeaders(aBuilder, request.headers);
   const auto body = EncodeBytes(aBuilder, request.body);
-  const auto remaining = static_cast<std::uint64_t>(
-    std::max<std::int64_t>(0, aMessage.remaining.count()));
+  const auto remaining = Unsigned(aMessage.remaining);
   return { fb::Body::Call,
            fb::CreateCall(aBuilder,
                           &id,
@@ -147,7 +159,9 @@
                           remaining,
                           aMessage.idempotent,
                           aMessage.priority,
-                          aMessage.objective.count())
+                          aMessage.objective.count(),
+                          Unsigned(aMessage.work),
+                          Unsigned(aMessage.alternative))
              .Union() };
 }
 
@@ -165,7 +179,9 @@
              static_cast<std::uint16_t>(aMessage.response.status),
              headers,
              body,
-             load.Get())
+             load.Get(),
+             Unsigned(aMessage.work),
+             Unsigned(aMessage.held))
              .Union() };
 }
 
@@ -183,7 +199,7 @@
              detail,
              aMessage.refusal.retried,
              load.Get(),
-             static_cast<std::uint64_t>(aMessage.refusal.retryAfter.count()))
+             Unsigned(aMessage.refusal.retryAfter))
              .Union() };
 }
 
@@ -322,6 +338,14 @@
            fb::CreateBurnAck(aBuilder, aMessage.sequence).Union() };
 }
 
+Encoded
+Encode(Builder& aBuilder, const LoadNewsMessage& aMessage)
+{
+  const WireLoad load(aMessage.load);
+  return { fb::Body::LoadNews,
+           fb::CreateLoadNews(aBuilder, load.Get()).Union() };
+}
+
 Result<PeerMessage>
 Decode(const fb::BurnReport& aReport)
 {
@@ -355,11 +379,12 @@
                       aCall.target()->str(),
                       DecodeHeaders(aCall.headers()),
                       DecodeBytes(aCall.body()) };
-  message.remaining =
-    Micros(std::min<std::uint64_t>(aCall.remaining_us(), INT64_MAX / 4000));
+  message.remaining = ToMicros(aCall.remaining_us());
   message.idempotent = aCall.idempotent();
   message.priority = aCall.priority();
   message.objective = Micros(aCall.objective_us());
+  message.work = ToMicros(aCall.work_us());
+  message.alternative = ToMicros(aCall.alternative_us());
   return PeerMessage(std::move(message));
 }
 
@@ -370,7 +395,9 @@
                                     { aAnswer.status(),
                                       DecodeHeaders(aAnswer.headers()),
                                       DecodeBytes(aAnswer.body()) },
-                                    DecodeLoad(aAnswer.load()) });
+                                    DecodeLoad(aAnswer.load()),
+                                    ToMicros(aAnswer.work_us()),
+                                    ToMicros(aAnswer.held_us()) });
 }
 
 Result<PeerMessage>
@@ -385,8 +412,7 @@
                     { reason,
                       TextOf(aRefusal.detail()),
                       aRefusal.retried(),
-                      Micros(std::min<std::uint64_t>(aRefusal.retry_after_us(),
-                                                     INT64_MAX / 4000)) },
+                      ToMicros(aRefusal.retry_after_us()) },
                     DecodeLoad(aRefusal.load()) });
 }
 
@@ -489,6 +515,9 @@
     case fb::Body::BurnAck:
       return PeerMessage(
         BurnAckMessage{ aEnvelope.body_as_BurnAck()->sequence() });
+    case fb::Body::LoadNews:
+      return PeerMessage(
+        LoadNewsMessage{ *DecodeLoad(aEnvelope.body_as_LoadNews()->load()) });
     case fb::Body::NONE:
       break;
   }
--- a/testing/capacity_bench.cpp
+++ b/testing/capacity_bench.cpp
@@ -161,7 +161,7 @@
     table->Find("service-7.example", "/");
   });
   Measure("target chosen", 1000000, [&](int) {
-    ChooseTarget(*route, {}, 600, random, virtualNow);
+    ChooseTarget(*route, {}, { 50ms, 600 }, random, virtualNow);
   });
 }
 
