--- a/include/baobab/decision/finish_choice.hpp
+++ b/include/baobab/decision/finish_choice.hpp
@@ -5,8 +5,10 @@
 #include "baobab/core/random.hpp"
 #include "baobab/core/time.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <optional>
+#include <ranges>
 #include <span>
 #include <vector>
 
@@ -19,6 +21,9 @@
   Duration finish = Duration::zero();
   /// What keeping the call near is worth, as time.
   Duration penalty = Duration::zero();
+  /// Distance; of about equal candidates only those as near as the best share
+  /// the calls.
+  int distance = 0;
 };
 
 /// The chosen candidate.
@@ -30,7 +35,7 @@
   std::optional<Duration> alternative;
 };
 
-/// Chooses among candidates whose costs are about the lowest with equal
+/// Chooses among near candidates whose costs are about the lowest with equal
 /// probability, so that daemons with the same view do not all choose the same
 /// target. Nothing if there is no candidate.
 template<RandomSource R>
@@ -45,15 +50,16 @@
   const auto cost = [&](std::size_t aIndex) {
     return aCandidates[aIndex].finish + aCandidates[aIndex].penalty;
   };
-  Duration lowest = cost(0);
-  for (std::size_t i = 1; i < aCandidates.size(); ++i) {
-    lowest = std::min(lowest, cost(i));
-  }
-  const auto bound = std::chrono::duration_cast<Duration>(lowest * kIndifferent);
-  std::size_t chosen = 0;
+  const auto indices = std::views::iota(std::size_t{ 0 }, aCandidates.size());
+  const std::size_t best = std::ranges::min(indices, {}, cost);
+  const auto bound =
+    std::chrono::duration_cast<Duration>(cost(best) * kIndifferent);
+  std::size_t chosen = best;
   std::size_t tied = 0;
-  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    if (cost(i) <= bound && Below(aRandom, ++tied) == 0) {
+  for (const std::size_t i : indices) {
+    const bool about = cost(i) <= bound &&
+                       aCandidates[i].distance == aCandidates[best].distance;
+    if (about && Below(aRandom, ++tied) == 0) {
       chosen = i;
     }
   }
--- a/include/baobab/node/config_agent.hpp
+++ b/include/baobab/node/config_agent.hpp
@@ -30,6 +30,9 @@
   /// Runs until the process ends.
   void Run();
 
+  /// Reads what is published and puts it in force if it is newer.
+  void ReadStore();
+
   /// Learns the generation of a peer and pulls it if it is newer.
   void Hear(const Endpoint& aPeer, std::uint64_t aGeneration);
 
@@ -54,7 +57,6 @@
 
 private:
   bool IsReader() const;
-  void ReadStore();
   void WatchStore();
   void Take(const Result<std::optional<ConfigDelta>>& aRead);
   void Pull(const Endpoint& aPeer);
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -25,7 +25,8 @@
 /// Mean time between reads of a daemon that is no reader and hears peers.
 constexpr Duration kAuditTime = 300s;
 
-constexpr Duration kPullTime = 5s;
+/// Time for a peer to answer; another one is asked after it.
+constexpr Duration kPullTime = 600ms;
 
 /// Bytes of a reply besides the files.
 constexpr std::size_t kReplyOverhead = 128;
@@ -90,15 +91,20 @@
 ConfigAgent::Reply(const std::shared_ptr<FrameConnection>& aFrames,
                    const ConfigRequestMessage& aRequest)
 {
-  ConfigReplyMessage reply{ this->publisher.Current()->Since(
-    aRequest.generation) };
-  std::size_t bytes = kReplyOverhead;
-  for (const std::string& text : reply.delta.texts) {
-    bytes += text.size() + kReplyOverhead;
-  }
-  Spawn([this, aFrames, bytes, reply = std::move(reply)] {
-    this->pacer.Spend(bytes);
-    aFrames->Send(reply);
+  const auto size = [](const ConfigDelta& aDelta) {
+    // Service files shrink to about a fifth on the wire.
+    constexpr std::size_t kPacked = 5;
+    std::size_t bytes = kReplyOverhead;
+    for (const std::string& text : aDelta.texts) {
+      bytes += text.size() / kPacked + kReplyOverhead;
+    }
+    return bytes;
+  };
+  const std::uint64_t since = aRequest.generation;
+  Spawn([this, aFrames, since, size] {
+    this->pacer.Spend(size(this->publisher.Current()->Since(since)));
+    // Made after the wait, so that it holds what came into force meanwhile.
+    aFrames->Send(ConfigReplyMessage{ this->publisher.Current()->Since(since) });
   });
 }
 
@@ -116,15 +122,17 @@
 void
 ConfigAgent::ReadStore()
 {
-  this->Take(this->source->Read(*this->publisher.Current()));
+  // Held, since a peer's configuration may replace it during the read.
+  const auto current = this->publisher.Current();
+  this->Take(this->source->Read(*current));
 }
 
 void
 ConfigAgent::WatchStore()
 {
   const TimePoint began = Now();
-  const auto changed =
-    this->source->Watch(*this->publisher.Current(), kWatchTime);
+  const auto current = this->publisher.Current();
+  const auto changed = this->source->Watch(*current, kWatchTime);
   this->Take(changed);
   // A watch that ends at once must not become a busy loop.
   const bool useful = Succeeded(changed) && Value(changed);
--- a/src/baobab/node/target_chooser.cpp
+++ b/src/baobab/node/target_chooser.cpp
@@ -105,7 +105,8 @@
       aCandidates.push_back(
         { target->load.Way(kUsualWays[tier]) +
             target->load.Finish(aTerms.work, this->prior, this->now),
-          PenaltyOf(aTier, aTerms) });
+          PenaltyOf(aTier, aTerms),
+          static_cast<int>(tier) });
       aTargets.push_back({ target, aTier });
     }
   }
--- a/src/baobab/wire/codec_test.cpp
+++ b/src/baobab/wire/codec_test.cpp
@@ -1,6 +1,7 @@
 #include "baobab/core/random.hpp"
 #include "baobab/wire/gossip_codec.hpp"
 #include "baobab/wire/peer_codec.hpp"
+#include "baobab/wire/deflate.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <cstring>
@@ -175,6 +176,17 @@
   BOOST_TEST((Failure(length).kind == ErrorKind::TooLarge));
 }
 
+BOOST_AUTO_TEST_CASE(compressed_files_survive_and_damaged_ones_are_refused)
+{
+  const std::string file(5000, 'a');
+  const std::string packed = Deflate(file);
+  BOOST_TEST(packed.size() < file.size() / 10);
+  BOOST_TEST(Value(Inflate(packed, file.size())) == file);
+  BOOST_TEST(!Succeeded(Inflate(packed, file.size() - 1)));
+  BOOST_TEST(!Succeeded(Inflate(packed.substr(0, 5), file.size())));
+  BOOST_TEST(Value(Inflate(Deflate(""), 0)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/src/baobab/wire/peer_codec.cpp
+++ b/src/baobab/wire/peer_codec.cpp
@@ -1,5 +1,6 @@
 #include "baobab/wire/peer_codec.hpp"
 
+#include "deflate.hpp"
 #include "generated/peer_generated.h"
 #include "member_codec.hpp"
 
@@ -15,6 +16,9 @@
 using Headers = flatbuffers::Vector<flatbuffers::Offset<fb::Header>>;
 using Bytes = flatbuffers::Vector<std::uint8_t>;
 
+/// Bounds the memory that a damaged message can ask for.
+constexpr std::uint32_t kLargestServiceFile = 4U << 20U;
+
 /// A message inside its union.
 struct Encoded
 {
@@ -263,9 +267,15 @@
     const ManifestEntry& entry = delta.entries[i];
     const auto name = aBuilder.CreateString(entry.name);
     const auto hash = aBuilder.CreateString(entry.hash);
-    const auto text = aBuilder.CreateString(delta.texts[i]);
-    entries.push_back(fb::CreateConfigEntry(
-      aBuilder, name, entry.revision, hash, entry.generation, text));
+    const auto size = static_cast<std::uint32_t>(delta.texts[i].size());
+    const auto deflated = EncodeBytes(aBuilder, Deflate(delta.texts[i]));
+    entries.push_back(fb::CreateConfigEntry(aBuilder,
+                                            name,
+                                            entry.revision,
+                                            hash,
+                                            entry.generation,
+                                            size,
+                                            deflated));
   }
   const auto list = aBuilder.CreateVector(entries);
   return { fb::Body::ConfigReply,
@@ -429,7 +439,14 @@
                                         entry->revision(),
                                         entry->hash()->str(),
                                         entry->generation() });
-      message.delta.texts.push_back(entry->text()->str());
+      if (entry->size() > kLargestServiceFile) {
+        return Error{ ErrorKind::TooLarge, "service file is too large", "" };
+      }
+      auto text = Inflate(DecodeBytes(entry->deflated()), entry->size());
+      if (!Succeeded(text)) {
+        return Failure(text);
+      }
+      message.delta.texts.push_back(std::move(Value(text)));
     }
   }
   return PeerMessage(std::move(message));
