--- a/include/baobab/net/http_server.hpp
+++ b/include/baobab/net/http_server.hpp
@@ -106,7 +106,8 @@
   {
   }
 
-  /// Ends keep-alive: each connection closes after its current answer.
+  /// Ends keep-alive: idle connections close, the others after their current
+  /// answer.
   void StopKeepAlive() { this->closing = true; }
   bool Closing() const { return this->closing; }
 
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -80,10 +80,11 @@
     this->stream.close(error);
   }
 
-  /// Ends the current operation if its time is over.
+  /// Ends the current operation if its time is over, or if the connection
+  /// waits for a request that would not be answered any more.
   void CheckLimit(TimePoint aNow)
   {
-    if (aNow >= this->limit) {
+    if (aNow >= this->limit || (this->idle && this->gate.Closing())) {
       this->limit = TimePoint::max();
       this->expired = true;
       this->stream.cancel();
@@ -108,9 +109,11 @@
       return true;
     }
     this->LimitTo(this->limits.idleTime);
+    this->idle = true;
     const IoResult result = Await([&](auto aHandler) {
       this->stream.async_read_some(this->buffer.prepare(kReadBytes), aHandler);
     });
+    this->idle = false;
     this->buffer.commit(result.bytes);
     return static_cast<bool>(result);
   }
@@ -271,6 +274,7 @@
   HttpGate& gate;
   TimePoint limit = TimePoint::max();
   bool expired = false;
+  bool idle = false;
 };
 
 /// Connections of one server, for the checks of their time limits.
--- a/testing/integration/shutdown_test.sh
+++ b/testing/integration/shutdown_test.sh
@@ -49,8 +49,19 @@
 PYTHON
 CLIENT=$!
 wait_metric 'attempts_total{service="quoting"}' $((before + 20)) 10 1
+# A connection without a request closes, while the requests are in flight: a
+# request that came on it later could not be finished.
+python3 - "$NET.1" <<'PYTHON' &
+import socket, sys
+connection = socket.create_connection((sys.argv[1], 8080))
+connection.settimeout(20)
+sys.exit(connection.recv(1) != b"")
+PYTHON
+IDLE=$!
+sleep 0.3
 kill -TERM "${DAEMON_PID[1]}"
 until grep -q '"draining"' "$WORK/daemon-1.log"; do sleep 0.05; done
+wait "$IDLE" || fail "an idle connection stayed open during the shutdown"
 for n in 1 2; do
   curl -fs -o /dev/null -d off "http://$NET.$n:8000/control/stall"
 done
