--- a/include/baobab/decision/call_plan.hpp
+++ b/include/baobab/decision/call_plan.hpp
@@ -27,6 +27,10 @@
   /// Records the outcome of an attempt and decides what follows.
   PlanStep OnOutcome(Outcome aOutcome, RetryBudget& aBudget, TimePoint aNow);
 
+  /// Asks to send the call to a second target while an attempt runs; takes
+  /// budget if granted. Its outcome is combined with that of the attempt.
+  bool MaySendSecond(RetryBudget& aBudget);
+
   /// Outcome of the call so far.
   const Outcome& Result() const { return this->result; }
 
--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -53,7 +53,19 @@
                          const std::vector<Endpoint>& aTried);
   Outcome Attempt(const Call& aCall,
                   const ChosenTarget& aChosen,
-                  Cancellation* aCancellation = nullptr);
+                  Cancellation& aCancellation);
+  Outcome AttemptWatched(const Call& aCall,
+                         const ChosenTarget& aChosen,
+                         CallPlan& aPlan);
+  /// An attempt in flight that may be sent once more.
+  struct Flight;
+
+  Outcome AwaitSecond(Flight& aFlight, Outcome aFirst);
+  void ConsiderSecond(const std::shared_ptr<Flight>& aFlight,
+                      double aSlowness);
+  void SendSecond(const std::shared_ptr<Flight>& aFlight,
+                  const ChosenTarget& aChosen);
+  ChoiceTerms TermsOf(const Call& aCall) const;
   Outcome AttemptHedged(const Call& aCall,
                         const ChosenTarget& aChosen,
                         const std::vector<Endpoint>& aTried);
@@ -72,6 +84,8 @@
   LinkPool links;
   /// Targets that were called, for their news.
   std::unordered_map<Endpoint, std::weak_ptr<TargetRef>> called;
+  /// Idempotent attempts in flight, by target.
+  std::unordered_multimap<Endpoint, std::shared_ptr<Flight>> flights;
   SplitMix random;
   WorkerStats stats;
 };
--- a/src/baobab/decision/call_plan.cpp
+++ b/src/baobab/decision/call_plan.cpp
@@ -90,6 +90,15 @@
   return retry ? PlanStep::Retry : PlanStep::Finish;
 }
 
+bool
+CallPlan::MaySendSecond(RetryBudget& aBudget)
+{
+  const bool granted = this->idempotent && this->arrivals + 1 < this->most &&
+                       aBudget.Spend();
+  this->arrivals += granted ? 1 : 0;
+  return granted;
+}
+
 bool
 CallPlan::MayRetry(const Outcome& aOutcome, RetryBudget& aBudget) const
 {
--- a/src/baobab/decision/call_plan_test.cpp
+++ b/src/baobab/decision/call_plan_test.cpp
@@ -93,6 +93,20 @@
               PlanStep::Finish));
 }
 
+BOOST_AUTO_TEST_CASE(a_second_send_counts_against_attempts_and_budget)
+{
+  RetryBudget budget(0, 2);
+  CallPlan plan(true, 3, kNow + 1s);
+  BOOST_TEST(plan.MaySendSecond(budget));
+  BOOST_TEST(plan.MaySendSecond(budget));
+  BOOST_TEST(!plan.MaySendSecond(budget));
+  BOOST_TEST(
+    (plan.OnOutcome(OutcomeUnknown{}, budget, kNow) == PlanStep::Finish));
+  CallPlan once(false, 3, kNow + 1s);
+  RetryBudget full(0, 2);
+  BOOST_TEST(!once.MaySendSecond(full));
+}
+
 BOOST_AUTO_TEST_CASE(a_failed_answer_is_retried_and_kept_if_nothing_is_better)
 {
   RetryBudget budget(0.1, 10);
--- /dev/null
+++ b/src/baobab/decision/second_send.cpp
@@ -0,0 +1,37 @@
+#include "baobab/decision/second_send.hpp"
+
+#include <algorithm>
+
+namespace baobab {
+namespace {
+
+/// Time for which a slow spell still lasts when it is noticed: neighbours that
+/// slow a host down come and go within half a second.
+constexpr Duration kSpell = 400ms;
+
+/// Part of the usual work that a call which exceeds it is taken to have left.
+constexpr int kTailPart = 5;
+
+}
+
+Duration
+ExpectedStay(const SlowedCall& aCall)
+{
+  const Duration left =
+    std::max(aCall.work - aCall.elapsed, aCall.work / kTailPart);
+  const auto slow = std::chrono::duration_cast<Duration>(left * aCall.slowness);
+  const auto done = std::chrono::duration_cast<Duration>(kSpell / aCall.slowness);
+  return std::min(slow, kSpell + std::max(Duration::zero(), left - done));
+}
+
+bool
+SecondSendPays(const SlowedCall& aCall)
+{
+  const Duration stay = ExpectedStay(aCall);
+  const auto gains = [&](Duration aBound) {
+    return stay > aBound && aCall.elsewhere <= aBound;
+  };
+  return gains(aCall.objective) || gains(aCall.deadline);
+}
+
+}
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -19,7 +19,7 @@
 
 using Parser = http::request_parser<http::string_body>;
 
-constexpr std::size_t kReadBytes = 16384;
+constexpr std::size_t kReadBytes = 4096;
 
 /// Bytes that a client may still send after a refusal, so that it can read
 /// the refusal before the connection closes.
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -2,6 +2,7 @@
 
 #include "baobab/core/result.hpp"
 #include "baobab/decision/quarantine.hpp"
+#include "baobab/decision/second_send.hpp"
 #include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
 #include "baobab/net/worker.hpp"
@@ -37,6 +38,9 @@
 /// that a request that was sent in time is not met by a close.
 constexpr Duration kIdleMargin = 1s;
 
+/// Slowness from which calls in flight are looked at again.
+constexpr double kSlowHost = 2;
+
 /// Time of a call on an unhurried host while no answer has told it.
 constexpr Duration kUsualWork = 100ms;
 
@@ -295,7 +299,7 @@
     tried.push_back(chosen.target->endpoint);
     Outcome outcome = aCall.terms.idempotent && spec.hedge.enabled
                         ? this->AttemptHedged(aCall, chosen, tried)
-                        : this->Attempt(aCall, chosen);
+                        : this->AttemptWatched(aCall, chosen, plan);
     if (plan.OnOutcome(std::move(outcome),
                        aCall.route->state->retries,
                        Now()) == PlanStep::Finish ||
@@ -317,15 +321,21 @@
     return aTried.empty() ? ChooseIsolated(*aCall.route, *aCall.suspect)
                           : ChosenTarget{};
   }
+  return ChooseTarget(
+    *aCall.route, aTried, this->TermsOf(aCall), this->random, Now());
+}
+
+ChoiceTerms
+Ingress::TermsOf(const Call& aCall) const
+{
   const RouteState& learned = *aCall.rule->state;
-  const ChoiceTerms terms{
+  return {
     learned.Work(kUsualWork),
     static_cast<std::int64_t>(aCall.request.body.size() +
                               aCall.request.target.size()) +
       kCallOverhead + learned.AnswerBytes(),
     this->settings.placement,
   };
-  return ChooseTarget(*aCall.route, aTried, terms, this->random, Now());
 }
 
 void
@@ -338,12 +348,118 @@
   if (const auto target = found->second.lock()) {
     target->load.Report(aLoad, Now());
   }
+  constexpr double kPercent = 100;
+  const double slowness = aLoad.slowness / kPercent;
+  if (slowness < kSlowHost) {
+    return;
+  }
+  const auto [first, last] = this->flights.equal_range(aEndpoint);
+  std::vector<std::shared_ptr<Flight>> slowed;
+  std::transform(first,
+                 last,
+                 std::back_inserter(slowed),
+                 [](const auto& aItem) { return aItem.second; });
+  for (const auto& flight : slowed) {
+    this->ConsiderSecond(flight, slowness);
+  }
+}
+
+/// An idempotent attempt in flight. While a second one runs, the first answer
+/// of the two is the call's.
+struct Ingress::Flight
+{
+  Flight(const Call& aCall, CallPlan& aPlan, Endpoint aTarget, TimePoint aBegan)
+    : call(aCall)
+    , plan(aPlan)
+    , target(aTarget)
+    , began(aBegan)
+  {
+  }
+
+  const Call& call;
+  CallPlan& plan;
+  Endpoint target;
+  TimePoint began;
+  Cancellation first;
+  Cancellation second;
+  bool secondRuns = false;
+  std::optional<Outcome> secondOutcome;
+  Signal secondEnded;
+};
+
+void
+Ingress::ConsiderSecond(const std::shared_ptr<Flight>& aFlight,
+                        double aSlowness)
+{
+  const Call& call = aFlight->call;
+  const Duration work = call.rule->state->Work(Duration::zero());
+  if (aFlight->secondRuns || aFlight->secondOutcome || call.suspect ||
+      work == Duration::zero()) {
+    return;
+  }
+  const TimePoint now = Now();
+  const ChosenTarget other = this->ChooseFor(call, { aFlight->target });
+  if (!other.target) {
+    return;
+  }
+  SlowedCall slowed;
+  slowed.elapsed = now - aFlight->began;
+  slowed.work = work;
+  slowed.slowness = aSlowness;
+  slowed.objective = call.terms.objective - now;
+  slowed.deadline = call.terms.deadline - now;
+  slowed.elsewhere = other.finish;
+  if (SecondSendPays(slowed) &&
+      aFlight->plan.MaySendSecond(call.route->state->retries)) {
+    this->SendSecond(aFlight, other);
+  }
+}
+
+void
+Ingress::SendSecond(const std::shared_ptr<Flight>& aFlight,
+                    const ChosenTarget& aChosen)
+{
+  aFlight->secondRuns = true;
+  // The call may end while the second attempt is still being cancelled.
+  auto call = std::make_shared<Call>(aFlight->call);
+  Spawn([this, aFlight, call, aChosen] {
+    aFlight->secondOutcome = this->Attempt(*call, aChosen, aFlight->second);
+    aFlight->secondRuns = false;
+    if (std::holds_alternative<Answered>(*aFlight->secondOutcome) &&
+        aFlight->first.cancel) {
+      aFlight->first.cancel();
+    }
+    aFlight->secondEnded.Notify();
+  });
+}
+
+/// The outcome of an attempt of which a second one was sent.
+Outcome
+Ingress::AwaitSecond(Flight& aFlight, Outcome aFirst)
+{
+  const bool answered = std::holds_alternative<Answered>(aFirst);
+  if (aFlight.secondRuns && (answered || aFlight.call.caller->Gone())) {
+    if (aFlight.second.cancel) {
+      aFlight.second.cancel();
+    }
+    return aFirst;
+  }
+  if (aFlight.secondRuns) {
+    aFlight.secondEnded.WaitUntil(aFlight.call.terms.deadline);
+  }
+  if (answered || !aFlight.secondOutcome) {
+    return aFirst;
+  }
+  // Without an answer, "not run" needs that neither attempt may have run.
+  return std::holds_alternative<NotRun>(*aFlight.secondOutcome)
+           ? std::move(aFirst)
+           : *aFlight.secondOutcome;
 }
 
 Outcome
 Ingress::Attempt(const Call& aCall,
                  const ChosenTarget& aChosen,
-                 Cancellation* aCancellation)
+                 Cancellation& aCancellation)
 {
   TargetRef& target = *aChosen.target;
   const TimePoint began = Now();
@@ -352,25 +468,39 @@
   CallTerms terms = aCall.terms;
   terms.work = aCall.rule->state->Work(Duration::zero());
   terms.alternative = aChosen.alternative;
-  Cancellation own;
-  if (aCancellation == nullptr) {
-    aCancellation = &own;
-    aCall.caller->OnGone([&own] {
-      if (own.cancel) {
-        own.cancel();
-      }
-    });
-  }
   AttemptResult result = this->links.To(target.endpoint)
-                           ->Run(aCall.request, terms, aCancellation);
-  if (aCancellation == &own) {
-    aCall.caller->OnGone(nullptr);
-  }
+                           ->Run(aCall.request, terms, &aCancellation);
   target.load.Ended();
   this->Learn(aCall, target, result, Now() - began);
   return std::move(result.outcome);
 }
 
+/// Runs an attempt that ends when the caller goes, and of which a second one
+/// may be sent when its host turns slow.
+Outcome
+Ingress::AttemptWatched(const Call& aCall,
+                        const ChosenTarget& aChosen,
+                        CallPlan& aPlan)
+{
+  const Endpoint target = aChosen.target->endpoint;
+  const auto flight =
+    std::make_shared<Flight>(aCall, aPlan, target, Now());
+  aCall.caller->OnGone([flight] {
+    if (flight->first.cancel) {
+      flight->first.cancel();
+    }
+  });
+  const auto place = aCall.terms.idempotent
+                       ? this->flights.emplace(target, flight)
+                       : this->flights.end();
+  Outcome outcome = this->Attempt(aCall, aChosen, flight->first);
+  if (place != this->flights.end()) {
+    this->flights.erase(place);
+  }
+  aCall.caller->OnGone(nullptr);
+  return this->AwaitSecond(*flight, std::move(outcome));
+}
+
 Outcome
 Ingress::AttemptHedged(const Call& aCall,
                        const ChosenTarget& aChosen,
@@ -388,7 +518,7 @@
   const auto start = [&](const ChosenTarget& aTarget) {
     Cancellation& cancellation = race->started.emplace_back();
     Spawn([this, race, call, aTarget, &cancellation] {
-      race->outcomes.push_back(this->Attempt(*call, aTarget, &cancellation));
+      race->outcomes.push_back(this->Attempt(*call, aTarget, cancellation));
       race->changed.Notify();
     });
   };
--- a/src/baobab/node/target_chooser.cpp
+++ b/src/baobab/node/target_chooser.cpp
@@ -67,6 +67,7 @@
       const auto choice = ChooseFirstToFinish(candidates, this->random);
       ChosenTarget& chosen = targets[choice->index];
       if (this->MayUse(chosen, aTerms)) {
+        chosen.finish = candidates[choice->index].finish;
         chosen.alternative = choice->alternative.value_or(Duration::zero());
         return std::move(chosen);
       }
