News of the load reach the sender

Cause: the visitor's catch-all took a non-const reference and was the better match, so that no news was ever seen; only hand-backs told of slow hosts. Ruled out: the measuring budgets, which had room. peer_link_test fails without the change.

--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -224,7 +224,7 @@
         with(aRunning.id,
              [](Pending& aPending) { return aPending.attempt.OnRunning(); });
       },
-      [&](const LoadNewsMessage& aNews) {
+      [&](LoadNewsMessage& aNews) {
         if (this->onLoad) {
           this->onLoad(this->endpoint, aNews.load);
         }
--- /dev/null
+++ b/src/baobab/node/peer_link_test.cpp
@@ -0,0 +1,83 @@
+#include "baobab/node/peer_link.hpp"
+
+#include "baobab/core/result.hpp"
+#include "baobab/net/accept.hpp"
+#include "baobab/net/clock.hpp"
+#include "baobab/net/worker.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace baobab {
+namespace {
+
+/// A daemon that tells the load of its target, then refuses the call.
+void
+RefuseWithNews(Tcp::socket aSocket, const LoadReport& aLoad)
+{
+  const auto frames = std::make_shared<FrameConnection>(std::move(aSocket));
+  while (true) {
+    auto message = frames->Read();
+    if (!Succeeded(message)) {
+      return;
+    }
+    if (std::holds_alternative<HelloMessage>(Value(message))) {
+      frames->Send(WelcomeMessage{ 1 });
+    } else if (const auto* call = std::get_if<CallMessage>(&Value(message))) {
+      frames->Send(LoadNewsMessage{ aLoad });
+      frames->Send(RefusalMessage{
+        call->id, { RefusalReason::Overloaded, "full" }, std::nullopt });
+    }
+  }
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(peer_link)
+
+/// Found by second sends that never happened: news of the load were taken for
+/// a message of no interest.
+BOOST_AUTO_TEST_CASE(news_of_the_load_reach_the_listener)
+{
+  const LoadReport sent{ 3, 1, 18, 700 };
+  std::vector<LoadReport> heard;
+  std::optional<Outcome> outcome;
+  Worker worker;
+  worker.RunHere([&] {
+    auto acceptor = Listen(worker.Context(), { 0x7f000001, 0 });
+    BOOST_REQUIRE(Succeeded(acceptor));
+    const Endpoint address{ 0x7f000001,
+                            Value(acceptor).local_endpoint().port() };
+    Spawn([&] {
+      AcceptConnections(Value(acceptor), [&](Tcp::socket aSocket) {
+        Spawn([socket = std::move(aSocket), &sent]() mutable {
+          RefuseWithNews(std::move(socket), sent);
+        });
+      });
+    });
+    const Timeouts timeouts;
+    const auto link = std::make_shared<PeerLink>(
+      worker.Context(),
+      address,
+      LinkIdentity{ 7, "perth", 0 },
+      timeouts,
+      [&](const Endpoint&, const LoadReport& aLoad) {
+        heard.push_back(aLoad);
+      });
+    CallTerms terms;
+    terms.deadline = Now() + 10s;
+    const Request request{ "quoting", "GET", "/", {}, "" };
+    outcome = link->Run(request, terms).outcome;
+    Value(acceptor).close();
+    worker.Stop();
+    // The link's fibers go on until the process ends.
+    boost::this_fiber::sleep_for(100ms);
+  });
+  BOOST_REQUIRE(outcome.has_value());
+  BOOST_TEST(std::holds_alternative<NotRun>(*outcome));
+  BOOST_REQUIRE(heard.size() == 1U);
+  BOOST_TEST((heard[0] == sent));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
