--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -66,6 +66,7 @@
   void SendSecond(const std::shared_ptr<Flight>& aFlight,
                   const ChosenTarget& aChosen);
   ChoiceTerms TermsOf(const Call& aCall) const;
+  static Duration UsualWork(const Call& aCall);
   Outcome AttemptHedged(const Call& aCall,
                         const ChosenTarget& aChosen,
                         const std::vector<Endpoint>& aTried);
--- a/src/baobab/decision/admission_test.cpp
+++ b/src/baobab/decision/admission_test.cpp
@@ -139,6 +139,73 @@
   BOOST_TEST(admission.UsableSlots(kNow) == 20);
 }
 
+WaitTerms
+Terms(Duration aDeadline, Duration aObjective, std::uint8_t aPriority = 0)
+{
+  WaitTerms terms(kNow + aDeadline);
+  terms.objective = kNow + aObjective;
+  terms.priority = aPriority;
+  terms.work = 100ms;
+  return terms;
+}
+
+BOOST_AUTO_TEST_CASE(the_urgent_go_first_then_those_that_can_be_on_time)
+{
+  Admission admission = ReadyAdmission(1);
+  admission.Offer(Id(1), Terms(2s, 1s), kNow);
+  admission.Offer(Id(2), Terms(2s, 900ms, 2), kNow);
+  admission.Offer(Id(3), Terms(2s, 50ms, 1), kNow);
+  admission.Offer(Id(4), Terms(2s, 500ms, 1), kNow);
+  std::vector<CallId> order;
+  for (int i = 0; i < 3; ++i) {
+    const auto next = admission.Finish(1ms, kNow + 1ms);
+    BOOST_REQUIRE(next.size() == 1U);
+    order.push_back(next[0].id);
+  }
+  BOOST_TEST((order == std::vector{ Id(4), Id(3), Id(2) }));
+}
+
+BOOST_AUTO_TEST_CASE(hands_back_what_another_target_finishes_sooner)
+{
+  Admission admission = ReadyAdmission(4);
+  admission.SetSlowness(700, kNow);
+  WaitTerms terms = Terms(2s, 600ms);
+  terms.alternative = 110ms;
+  const auto answer = admission.Offer(Id(1), terms, kNow);
+  BOOST_TEST(RefusedFor(answer, RefusalReason::Overloaded));
+  terms.alternative = 900ms;
+  BOOST_TEST(
+    !RefusedFor(admission.Offer(Id(2), terms, kNow), RefusalReason::Overloaded));
+}
+
+BOOST_AUTO_TEST_CASE(waiting_calls_are_handed_back_when_the_host_turns_slow)
+{
+  Admission admission = ReadyAdmission(1);
+  admission.Offer(Id(1), Terms(2s, 600ms), kNow);
+  WaitTerms terms = Terms(2s, 600ms);
+  terms.alternative = 150ms;
+  BOOST_TEST(
+    std::holds_alternative<Queued>(admission.Offer(Id(2), terms, kNow)));
+  const auto leaving = admission.SetSlowness(700, kNow + 1ms);
+  BOOST_REQUIRE(leaving.size() == 1U);
+  BOOST_TEST(RefusedFor(leaving[0].answer, RefusalReason::Overloaded));
+}
+
+BOOST_AUTO_TEST_CASE(a_call_waits_for_a_slow_host_to_recover_if_it_can)
+{
+  AdmissionLimits limits;
+  limits.queueTime = 2s;
+  Admission admission = ReadyAdmission(4, limits);
+  admission.SetSlowness(700, kNow);
+  BOOST_TEST(std::holds_alternative<Queued>(
+    admission.Offer(Id(1), Terms(2s, 600ms), kNow)));
+  const auto started = admission.SetSlowness(100, kNow + 200ms);
+  BOOST_REQUIRE(started.size() == 1U);
+  BOOST_TEST(Started(started[0].answer));
+  admission.SetSlowness(700, kNow + 200ms);
+  BOOST_TEST(Started(admission.Offer(Id(2), Terms(2s, 100ms), kNow + 200ms)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -38,10 +38,14 @@
 /// that a request that was sent in time is not met by a close.
 constexpr Duration kIdleMargin = 1s;
 
+/// Times that a call may be handed back for the sake of a faster target.
+constexpr std::size_t kMostHandBacks = 2;
+
 /// Slowness from which calls in flight are looked at again.
 constexpr double kSlowHost = 2;
 
-/// Time of a call on an unhurried host while no answer has told it.
+/// Time of a call on an unhurried host while no answer of its service has
+/// told it.
 constexpr Duration kUsualWork = 100ms;
 
 /// Latencies of the mean after which a hedge starts.
@@ -290,10 +294,13 @@
     aCall.terms.idempotent, aCall.rule->spec.attempts, aCall.terms.deadline);
   std::vector<Endpoint> tried;
   while (true) {
-    const ChosenTarget chosen = this->ChooseFor(aCall, tried);
+    ChosenTarget chosen = this->ChooseFor(aCall, tried);
     if (!chosen.target) {
       break;
     }
+    if (tried.size() >= kMostHandBacks) {
+      chosen.alternative = Duration::zero();
+    }
     ++aStats.attempts;
     aStats.spilled += chosen.tier == Tier::OtherRegion ? 1 : 0;
     tried.push_back(chosen.target->endpoint);
@@ -325,12 +332,22 @@
     *aCall.route, aTried, this->TermsOf(aCall), this->random, Now());
 }
 
+/// Usual time of a call on an unhurried host. Both ends must reckon with the
+/// same one, or a call is handed back by every target.
+Duration
+Ingress::UsualWork(const Call& aCall)
+{
+  const Duration ofService = aCall.route->state->Prior().latency;
+  return aCall.rule->state->Work(
+    ofService == Duration::zero() ? kUsualWork : ofService);
+}
+
 ChoiceTerms
 Ingress::TermsOf(const Call& aCall) const
 {
   const RouteState& learned = *aCall.rule->state;
   return {
-    learned.Work(kUsualWork),
+    UsualWork(aCall),
     static_cast<std::int64_t>(aCall.request.body.size() +
                               aCall.request.target.size()) +
       kCallOverhead + learned.AnswerBytes(),
@@ -466,7 +483,7 @@
   target.load.Began();
   this->called[target.endpoint] = aChosen.target;
   CallTerms terms = aCall.terms;
-  terms.work = aCall.rule->state->Work(Duration::zero());
+  terms.work = UsualWork(aCall);
   terms.alternative = aChosen.alternative;
   AttemptResult result = this->links.To(target.endpoint)
                            ->Run(aCall.request, terms, &aCancellation);
