--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -27,6 +27,9 @@
   /// Handler for the HTTP server of this worker.
   HttpHandler Handler();
 
+  /// Ends the calls that have not started at a target, as "not run".
+  void WithdrawWaiting() { this->links.WithdrawWaiting(); }
+
   const WorkerStats& Stats() const { return this->stats; }
 
 private:
--- a/include/baobab/node/ingress_pool.hpp
+++ b/include/baobab/node/ingress_pool.hpp
@@ -38,6 +38,9 @@
   /// Accepts no more connections and ends keep-alive on the open ones.
   void StopAccepting();
 
+  /// Ends the calls that have not started at a target, as "not run".
+  void WithdrawWaiting();
+
 private:
   void Serve(IngressWorker& aWorker);
 
--- a/include/baobab/node/link_pool.hpp
+++ b/include/baobab/node/link_pool.hpp
@@ -35,6 +35,14 @@
     return link;
   }
 
+  /// @copydoc PeerLink::WithdrawWaiting
+  void WithdrawWaiting()
+  {
+    for (auto& [endpoint, link] : this->links) {
+      link->WithdrawWaiting();
+    }
+  }
+
 private:
   boost::asio::io_context& context;
   LinkIdentity identity;
--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -76,6 +76,10 @@
                     const CallTerms& aTerms,
                     Cancellation* aCancellation = nullptr);
 
+  /// Asks to have back what has not started at the target; those attempts end
+  /// as "not run".
+  void WithdrawWaiting();
+
   /// Attempts whose outcome is not known yet.
   std::size_t InFlight() const { return this->pending.size(); }
 
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -28,6 +28,10 @@
 constexpr Duration kRefreshPeriod = 50ms;
 constexpr Duration kDrainCheck = 20ms;
 
+/// Time before the end of a shutdown at which calls that have not started are
+/// given back to their callers.
+constexpr Duration kWithdrawTime = 500ms;
+
 /// Pause between looks for a configuration in which the target stands.
 constexpr Duration kFindPause = 50ms;
 
@@ -433,10 +437,18 @@
     const TimePoint end = Now() + this->settings.timeouts.drain;
     boost::this_fiber::sleep_for(this->settings.timeouts.leave);
     this->ingress.StopAccepting();
-    while (Now() < end &&
-           (this->calls.InFlight() > 0 || this->ingress.Busy() > 0)) {
-      boost::this_fiber::sleep_for(kDrainCheck);
-    }
+    const auto busy = [this] {
+      return this->calls.InFlight() > 0 || this->ingress.Busy() > 0;
+    };
+    const auto waitUntil = [&](TimePoint aEnd) {
+      while (Now() < aEnd && busy()) {
+        boost::this_fiber::sleep_for(kDrainCheck);
+      }
+    };
+    waitUntil(end - kWithdrawTime);
+    // What still waits for its turn would be cut by the end of the process.
+    this->ingress.WithdrawWaiting();
+    waitUntil(end);
     boost::this_fiber::sleep_for(kDrainCheck);
     this->gossip.Send(this->membership.Leave());
     Log(kChannel, LogLevel::Info, "stopped");
--- a/src/baobab/node/ingress_pool.cpp
+++ b/src/baobab/node/ingress_pool.cpp
@@ -140,4 +140,17 @@
   }
 }
 
+void
+IngressPool::WithdrawWaiting()
+{
+  for (const auto& worker : this->workers) {
+    Ask(*worker, [](IngressWorker& aWorker) {
+      if (aWorker.ingress) {
+        aWorker.ingress->WithdrawWaiting();
+      }
+      return true;
+    });
+  }
+}
+
 }
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -90,6 +90,18 @@
   aPending.finished.Notify();
 }
 
+void
+PeerLink::WithdrawWaiting()
+{
+  for (auto& [sequence, pending] : this->pending) {
+    if (!pending->attempt.WasSent()) {
+      this->GiveUp(*pending, pending->attempt.OnCancelled());
+    } else if (this->ready) {
+      this->connection->Send(CancelMessage{ pending->attempt.Id(), true });
+    }
+  }
+}
+
 void
 PeerLink::Perform(Pending& aPending, AttemptAction aAction)
 {
