--- a/include/baobab/decision/finish_choice.hpp
+++ b/include/baobab/decision/finish_choice.hpp
@@ -57,8 +57,8 @@
   std::size_t chosen = best;
   std::size_t tied = 0;
   for (const std::size_t i : indices) {
-    const bool about = cost(i) <= bound &&
-                       aCandidates[i].distance == aCandidates[best].distance;
+    const bool about =
+      cost(i) <= bound && aCandidates[i].distance == aCandidates[best].distance;
     if (about && Below(aRandom, ++tied) == 0) {
       chosen = i;
     }
@@ -70,9 +70,8 @@
     }
     const Duration extra = aCandidates[i].penalty - aCandidates[chosen].penalty;
     const Duration other = aCandidates[i].finish + extra;
-    choice.alternative = choice.alternative
-                           ? std::min(*choice.alternative, other)
-                           : other;
+    choice.alternative =
+      choice.alternative ? std::min(*choice.alternative, other) : other;
   }
   return choice;
 }
--- a/include/baobab/decision/target_load.hpp
+++ b/include/baobab/decision/target_load.hpp
@@ -60,7 +60,9 @@
   /// Time that a call which is sent now takes at the target: its turn in the
   /// queue, then its work.
   /// @param aWork time of the call on an unhurried host
-  Duration Finish(Duration aWork, const PeerPrior& aPrior, TimePoint aNow) const;
+  Duration Finish(Duration aWork,
+                  const PeerPrior& aPrior,
+                  TimePoint aNow) const;
 
   /// Calls of other daemons per slot, as last reported.
   double OthersPerSlot() const;
--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -64,8 +64,7 @@
   struct Flight;
 
   Outcome AwaitSecond(Flight& aFlight, Outcome aFirst);
-  void ConsiderSecond(const std::shared_ptr<Flight>& aFlight,
-                      double aSlowness);
+  void ConsiderSecond(const std::shared_ptr<Flight>& aFlight, double aSlowness);
   void SendSecond(const std::shared_ptr<Flight>& aFlight,
                   const ChosenTarget& aChosen);
   ChoiceTerms TermsOf(const Call& aCall) const;
--- a/src/baobab/decision/admission.cpp
+++ b/src/baobab/decision/admission.cpp
@@ -312,8 +312,7 @@
     const WaitTerms& terms = aWaiting.terms;
     const Duration least =
       terms.work == Duration::zero() ? this->serviceTime : terms.work;
-    const bool late =
-      aWaiting.leaveBy <= aNow || aNow + least > terms.deadline;
+    const bool late = aWaiting.leaveBy <= aNow || aNow + least > terms.deadline;
     if (late) {
       aLeaving.push_back(
         { aWaiting.id, this->Overload("it waited too long", least) });
--- a/src/baobab/decision/admission_test.cpp
+++ b/src/baobab/decision/admission_test.cpp
@@ -174,8 +174,8 @@
   const auto answer = admission.Offer(Id(1), terms, kNow);
   BOOST_TEST(RefusedFor(answer, RefusalReason::Overloaded));
   terms.alternative = 900ms;
-  BOOST_TEST(
-    !RefusedFor(admission.Offer(Id(2), terms, kNow), RefusalReason::Overloaded));
+  BOOST_TEST(!RefusedFor(admission.Offer(Id(2), terms, kNow),
+                         RefusalReason::Overloaded));
 }
 
 BOOST_AUTO_TEST_CASE(waiting_calls_are_handed_back_when_the_host_turns_slow)
--- a/src/baobab/decision/call_plan.cpp
+++ b/src/baobab/decision/call_plan.cpp
@@ -93,8 +93,8 @@
 bool
 CallPlan::MaySendSecond(RetryBudget& aBudget)
 {
-  const bool granted = this->idempotent && this->arrivals + 1 < this->most &&
-                       aBudget.Spend();
+  const bool granted =
+    this->idempotent && this->arrivals + 1 < this->most && aBudget.Spend();
   this->arrivals += granted ? 1 : 0;
   return granted;
 }
--- a/src/baobab/decision/finish_choice_test.cpp
+++ b/src/baobab/decision/finish_choice_test.cpp
@@ -10,9 +10,9 @@
 BOOST_AUTO_TEST_CASE(takes_the_first_to_finish_and_names_the_next)
 {
   SplitMix random(1);
-  const std::array<Candidate, 3> candidates{
-    Candidate{ 300ms }, Candidate{ 100ms }, Candidate{ 200ms }
-  };
+  const std::array<Candidate, 3> candidates{ Candidate{ 300ms },
+                                             Candidate{ 100ms },
+                                             Candidate{ 200ms } };
   const auto choice = ChooseFirstToFinish(candidates, random);
   BOOST_REQUIRE(choice.has_value());
   BOOST_TEST(choice->index == 1U);
@@ -23,9 +23,8 @@
 {
   SplitMix random(1);
   const auto chosen = [&](Duration aNear) {
-    const std::array<Candidate, 2> candidates{
-      Candidate{ aNear }, Candidate{ 100ms, 50ms }
-    };
+    const std::array<Candidate, 2> candidates{ Candidate{ aNear },
+                                               Candidate{ 100ms, 50ms } };
     return ChooseFirstToFinish(candidates, random)->index;
   };
   BOOST_TEST(chosen(140ms) == 0U);
--- a/src/baobab/decision/second_send.cpp
+++ b/src/baobab/decision/second_send.cpp
@@ -20,7 +20,8 @@
   const Duration left =
     std::max(aCall.work - aCall.elapsed, aCall.work / kTailPart);
   const auto slow = std::chrono::duration_cast<Duration>(left * aCall.slowness);
-  const auto done = std::chrono::duration_cast<Duration>(kSpell / aCall.slowness);
+  const auto done =
+    std::chrono::duration_cast<Duration>(kSpell / aCall.slowness);
   return std::min(slow, kSpell + std::max(Duration::zero(), left - done));
 }
 
--- a/src/baobab/decision/target_load.cpp
+++ b/src/baobab/decision/target_load.cpp
@@ -112,8 +112,8 @@
   const double capacity = this->slots.load(std::memory_order_relaxed);
   const double used = this->Utilisation(aPrior, aNow) * capacity;
   const double ahead = std::max(0.0, used + 1 - capacity) / capacity;
-  const double turns = this->Slowness(aPrior, aNow) * (1 + ahead) +
-                       kCrowding * used / capacity;
+  const double turns =
+    this->Slowness(aPrior, aNow) * (1 + ahead) + kCrowding * used / capacity;
   return std::chrono::duration_cast<Duration>(aWork * turns);
 }
 
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -196,13 +196,13 @@
   std::shared_ptr<CallerWatch> WatchCaller()
   {
     auto watch = std::make_shared<CallerWatch>();
-    this->stream.async_wait(Tcp::socket::wait_read,
-                            [this, watch](beast::error_code aError) {
-                              // After the end of the request the connection may not exist any more.
+    this->stream.async_wait(
+      Tcp::socket::wait_read, [this, watch](beast::error_code aError) {
+        // After the end of the request the connection may not exist any more.
         if (!aError && !watch->Over() && HasEnded(this->stream)) {
-                                watch->NoteGone();
-                              }
-                            });
+          watch->NoteGone();
+        }
+      });
     return watch;
   }
 
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -183,9 +183,7 @@
   const AdmissionAnswer answer = this->admission.Offer(id, terms, now);
   std::visit(
     Overloaded{
-      [&](const StartNow&) {
-        this->Start(std::move(aCall), now, aDeadline);
-      },
+      [&](const StartNow&) { this->Start(std::move(aCall), now, aDeadline); },
       [&](const Queued&) {
         this->waiting.emplace(id, Waiting{ std::move(aCall), now, aDeadline });
         this->SpreadLoad();
@@ -466,8 +464,8 @@
     const TimePoint due = this->loadKnownAt + period;
     const bool busy = Now() - this->lastCallAt < kNewsInterest;
     if (Now() < due || !busy) {
-      boost::this_fiber::sleep_for(
-        busy ? std::max<Duration>(due - Now(), 1ms) : period);
+      boost::this_fiber::sleep_for(busy ? std::max<Duration>(due - Now(), 1ms)
+                                        : period);
       continue;
     }
     const auto route = this->lookup(this->admission.Service());
@@ -475,13 +473,13 @@
     if (!route || route->service->spec.healthPath.empty()) {
       continue;
     }
-    const auto health = this->target.AskHealth(
-      route->service->spec.healthPath, this->settings.timeouts.connect);
+    const auto health = this->target.AskHealth(route->service->spec.healthPath,
+                                               this->settings.timeouts.connect);
     if (!Succeeded(health)) {
       continue;
     }
-    const auto load = ParseLoad(
-      FindHeader(Value(health).headers, this->settings.headers.load));
+    const auto load =
+      ParseLoad(FindHeader(Value(health).headers, this->settings.headers.load));
     if (load) {
       this->TakeLoad(*load);
       this->SpreadLoad();
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -104,7 +104,8 @@
   Spawn([this, aFrames, since, size] {
     this->pacer.Spend(size(this->publisher.Current()->Since(since)));
     // Made after the wait, so that it holds what came into force meanwhile.
-    aFrames->Send(ConfigReplyMessage{ this->publisher.Current()->Since(since) });
+    aFrames->Send(
+      ConfigReplyMessage{ this->publisher.Current()->Since(since) });
   });
 }
 
--- a/src/baobab/node/config_agent_test.cpp
+++ b/src/baobab/node/config_agent_test.cpp
@@ -10,9 +10,9 @@
 ConfigDelta
 Generation(std::uint64_t aGeneration)
 {
-  const std::string text = "name = 'quoting'\nrevision = " +
-                           std::to_string(aGeneration) +
-                           "\nhosts = ['q.example']\n";
+  const std::string text =
+    "name = 'quoting'\nrevision = " + std::to_string(aGeneration) +
+    "\nhosts = ['q.example']\n";
   return { 0,
            aGeneration,
            { { "quoting", 1, ContentHash(text), aGeneration } },
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -338,8 +338,8 @@
 Ingress::UsualWork(const Call& aCall)
 {
   const Duration ofService = aCall.route->state->Prior().latency;
-  return aCall.rule->state->Work(
-    ofService == Duration::zero() ? kUsualWork : ofService);
+  return aCall.rule->state->Work(ofService == Duration::zero() ? kUsualWork
+                                                               : ofService);
 }
 
 ChoiceTerms
@@ -485,8 +485,8 @@
   CallTerms terms = aCall.terms;
   terms.work = UsualWork(aCall);
   terms.alternative = aChosen.alternative;
-  AttemptResult result = this->links.To(target.endpoint)
-                           ->Run(aCall.request, terms, &aCancellation);
+  AttemptResult result =
+    this->links.To(target.endpoint)->Run(aCall.request, terms, &aCancellation);
   target.load.Ended();
   this->Learn(aCall, target, result, Now() - began);
   return std::move(result.outcome);
@@ -500,8 +500,7 @@
                         CallPlan& aPlan)
 {
   const Endpoint target = aChosen.target->endpoint;
-  const auto flight =
-    std::make_shared<Flight>(aCall, aPlan, target, Now());
+  const auto flight = std::make_shared<Flight>(aCall, aPlan, target, Now());
   aCall.caller->OnGone([flight] {
     if (flight->first.cancel) {
       flight->first.cancel();
--- a/src/baobab/node/peer_link_test.cpp
+++ b/src/baobab/node/peer_link_test.cpp
@@ -5,6 +5,7 @@
 #include "baobab/net/clock.hpp"
 #include "baobab/net/worker.hpp"
 
+#include <boost/fiber/operations.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace baobab {
@@ -55,14 +56,14 @@
       });
     });
     const Timeouts timeouts;
-    const auto link = std::make_shared<PeerLink>(
-      worker.Context(),
-      address,
-      LinkIdentity{ 7, "perth", 0 },
-      timeouts,
-      [&](const Endpoint&, const LoadReport& aLoad) {
-        heard.push_back(aLoad);
-      });
+    const auto link =
+      std::make_shared<PeerLink>(worker.Context(),
+                                 address,
+                                 LinkIdentity{ 7, "perth", 0 },
+                                 timeouts,
+                                 [&](const Endpoint&, const LoadReport& aLoad) {
+                                   heard.push_back(aLoad);
+                                 });
     CallTerms terms;
     terms.deadline = Now() + 10s;
     const Request request{ "quoting", "GET", "/", {}, "" };
--- a/src/baobab/node/target_chooser.cpp
+++ b/src/baobab/node/target_chooser.cpp
@@ -80,8 +80,7 @@
 
   bool MayUse(const ChosenTarget& aChosen, const ChoiceTerms& aTerms)
   {
-    if (!this->ignoreBreakers &&
-        !aChosen.target->breaker.TryPass(this->now)) {
+    if (!this->ignoreBreakers && !aChosen.target->breaker.TryPass(this->now)) {
       return false;
     }
     return aChosen.tier != Tier::OtherRegion ||
--- a/src/baobab/wire/codec_test.cpp
+++ b/src/baobab/wire/codec_test.cpp
@@ -1,7 +1,7 @@
 #include "baobab/core/random.hpp"
+#include "baobab/wire/deflate.hpp"
 #include "baobab/wire/gossip_codec.hpp"
 #include "baobab/wire/peer_codec.hpp"
-#include "baobab/wire/deflate.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <cstring>
--- a/src/baobab/wire/deflate.cpp
+++ b/src/baobab/wire/deflate.cpp
@@ -30,8 +30,7 @@
   constexpr int kWindowBits = 13;
   constexpr int kMemoryLevel = 4;
   const auto stream = std::make_unique<zlib::deflate_stream>();
-  stream->reset(
-    kLevel, kWindowBits, kMemoryLevel, zlib::Strategy::normal);
+  stream->reset(kLevel, kWindowBits, kMemoryLevel, zlib::Strategy::normal);
   std::string packed(stream->upper_bound(aText.size()), '\0');
   zlib::z_params params = Params(aText, packed);
   boost::system::error_code error;
--- a/src/baobab/wire/peer_codec.cpp
+++ b/src/baobab/wire/peer_codec.cpp
@@ -196,14 +196,13 @@
   const WireLoad load(aMessage.load);
   const auto detail = aBuilder.CreateString(aMessage.refusal.detail);
   return { fb::Body::Refusal,
-           fb::CreateRefusal(
-             aBuilder,
-             &id,
-             static_cast<std::uint8_t>(aMessage.refusal.reason),
-             detail,
-             aMessage.refusal.retried,
-             load.Get(),
-             Unsigned(aMessage.refusal.retryAfter))
+           fb::CreateRefusal(aBuilder,
+                             &id,
+                             static_cast<std::uint8_t>(aMessage.refusal.reason),
+                             detail,
+                             aMessage.refusal.retried,
+                             load.Get(),
+                             Unsigned(aMessage.refusal.retryAfter))
              .Union() };
 }
 
@@ -269,13 +268,8 @@
     const auto hash = aBuilder.CreateString(entry.hash);
     const auto size = static_cast<std::uint32_t>(delta.texts[i].size());
     const auto deflated = EncodeBytes(aBuilder, Deflate(delta.texts[i]));
-    entries.push_back(fb::CreateConfigEntry(aBuilder,
-                                            name,
-                                            entry.revision,
-                                            hash,
-                                            entry.generation,
-                                            size,
-                                            deflated));
+    entries.push_back(fb::CreateConfigEntry(
+      aBuilder, name, entry.revision, hash, entry.generation, size, deflated));
   }
   const auto list = aBuilder.CreateVector(entries);
   return { fb::Body::ConfigReply,
@@ -417,13 +411,12 @@
     return Error{ ErrorKind::BadMessage, "unknown reason of a refusal", "" };
   }
   const auto reason = static_cast<RefusalReason>(aRefusal.reason());
-  return PeerMessage(
-    RefusalMessage{ FromWire(*aRefusal.id()),
-                    { reason,
-                      TextOf(aRefusal.detail()),
-                      aRefusal.retried(),
-                      ToMicros(aRefusal.retry_after_us()) },
-                    DecodeLoad(aRefusal.load()) });
+  return PeerMessage(RefusalMessage{ FromWire(*aRefusal.id()),
+                                     { reason,
+                                       TextOf(aRefusal.detail()),
+                                       aRefusal.retried(),
+                                       ToMicros(aRefusal.retry_after_us()) },
+                                     DecodeLoad(aRefusal.load()) });
 }
 
 Result<PeerMessage>
