A call that was handed back insists when no other target is left

Found by the reasons of refusals, which are logged at info level from now on. Ruled out: full queues (70 of 1,277 refusals).

Spill is 2 MB/s for the fleet, about half of a link of 30 Mbit/s.

--- a/include/baobab/core/service.hpp
+++ b/include/baobab/core/service.hpp
@@ -117,7 +117,7 @@
 {
   bool crossRegion = true;
   /// Bytes of spilled calls a second for the whole fleet.
-  std::int64_t bytesPerSecond = 1 << 20;
+  std::int64_t bytesPerSecond = 2 << 20;
 };
 
 struct ObjectiveSpec
--- a/include/baobab/decision/call_plan.hpp
+++ b/include/baobab/decision/call_plan.hpp
@@ -31,6 +31,10 @@
   /// budget if granted. Its outcome is combined with that of the attempt.
   bool MaySendSecond(RetryBudget& aBudget);
 
+  /// Asks to offer the call again to targets that handed it back, when there
+  /// is no other left: they must then take it if they can. Granted once.
+  bool MayInsist();
+
   /// Outcome of the call so far.
   const Outcome& Result() const { return this->result; }
 
@@ -45,6 +49,7 @@
   std::int64_t attempts = 0;
   /// Attempts that may have reached a target.
   std::int64_t arrivals = 0;
+  bool insisted = false;
   Outcome result;
 };
 
--- a/src/baobab/decision/call_plan.cpp
+++ b/src/baobab/decision/call_plan.cpp
@@ -99,6 +99,16 @@
   return granted;
 }
 
+bool
+CallPlan::MayInsist()
+{
+  const auto* refusal = std::get_if<NotRun>(&this->result);
+  const bool granted = !this->insisted && refusal != nullptr &&
+                       refusal->reason == RefusalReason::Overloaded;
+  this->insisted = this->insisted || granted;
+  return granted;
+}
+
 bool
 CallPlan::MayRetry(const Outcome& aOutcome, RetryBudget& aBudget) const
 {
--- a/src/baobab/decision/call_plan_test.cpp
+++ b/src/baobab/decision/call_plan_test.cpp
@@ -93,6 +93,21 @@
               PlanStep::Finish));
 }
 
+/// Found by an incident: calls were handed back for the sake of targets of
+/// another region, which could not be used, and ended refused.
+BOOST_AUTO_TEST_CASE(a_call_that_was_handed_back_may_insist_once)
+{
+  RetryBudget empty(0, 0);
+  CallPlan plan(false, 2, kNow + 1s);
+  BOOST_TEST(!plan.MayInsist());
+  plan.OnOutcome(Refusal(RefusalReason::Overloaded), empty, kNow);
+  BOOST_TEST(plan.MayInsist());
+  BOOST_TEST(!plan.MayInsist());
+  CallPlan leaving(false, 2, kNow + 1s);
+  leaving.OnOutcome(Refusal(RefusalReason::Leaving), empty, kNow);
+  BOOST_TEST(!leaving.MayInsist());
+}
+
 BOOST_AUTO_TEST_CASE(a_second_send_counts_against_attempts_and_budget)
 {
   RetryBudget budget(0, 2);
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -293,12 +293,18 @@
   CallPlan plan(
     aCall.terms.idempotent, aCall.rule->spec.attempts, aCall.terms.deadline);
   std::vector<Endpoint> tried;
+  bool insists = false;
   while (true) {
     ChosenTarget chosen = this->ChooseFor(aCall, tried);
+    if (!chosen.target && plan.MayInsist()) {
+      insists = true;
+      tried.clear();
+      chosen = this->ChooseFor(aCall, tried);
+    }
     if (!chosen.target) {
       break;
     }
-    if (tried.size() >= kMostHandBacks) {
+    if (insists || tried.size() >= kMostHandBacks) {
       chosen.alternative = Duration::zero();
     }
     ++aStats.attempts;
@@ -646,7 +652,7 @@
       [&](NotRun& aRefusal) {
         aStats.Record(CallClass::NotRun, latency);
         Log(kChannel,
-            LogLevel::Debug,
+            LogLevel::Info,
             "call not run",
             { { "service", spec.name },
               { "reason", std::string(Name(aRefusal.reason)) },
--- a/src/baobab/node/route_table.cpp
+++ b/src/baobab/node/route_table.cpp
@@ -190,7 +190,8 @@
     route->state = state;
     route->spec = std::move(spec);
     route->owner = aOwner;
-    aTable.byHost[Lower(route->spec.host)].push_back(std::move(route));
+    auto& ofHost = aTable.byHost[Lower(route->spec.host)];
+    ofHost.push_back(std::move(route));
   }
 }
 
