Reading the settings again writes each line once; responses in a file of their own

Cause: SIGHUP initialised the log anew and added a sink, so that every line was written twice, and wrote the level while other threads read it. Names that nobody uses are gone.

--- a/include/baobab/net/log.hpp
+++ b/include/baobab/net/log.hpp
@@ -30,6 +30,10 @@
 ///   by levels of single channels, for example `info,gossip=debug`
 void InitLog(std::string_view aFormat, std::string_view aLevel);
 
+/// Changes the lowest level while the program runs; levels of single channels
+/// stay.
+void SetLogLevel(std::string_view aLevel);
+
 /// True if lines of this level are written on the channel.
 bool LogEnabled(std::string_view aChannel, LogLevel aLevel);
 
--- a/include/baobab/node/headers.hpp
+++ b/include/baobab/node/headers.hpp
@@ -12,10 +12,6 @@
 constexpr std::string_view kRetriedHeader = "Baobab-Retried";
 /// To targets: identity of the call. To callers: the same, for logs.
 constexpr std::string_view kCallHeader = "Baobab-Call";
-/// From callers and to targets: time left, in milliseconds.
-constexpr std::string_view kDeadlineHeader = "Baobab-Deadline-Ms";
-/// From targets: identity of the call that was shed without running it.
-constexpr std::string_view kNotRunHeader = "Baobab-Not-Run";
 
 /// True for headers that must not be passed on from one hop to the next.
 bool IsOwnHeader(std::string_view aName);
--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -93,11 +93,4 @@
   WorkerStats stats;
 };
 
-/// Response for a call that was not run.
-/// @param aFractions true if `Retry-After` may have a fraction
-Response NotRunResponse(const NotRun& aRefusal, bool aFractions = false);
-
-/// Response for a call whose outcome is unknown.
-Response UnknownResponse(const OutcomeUnknown& aUnknown);
-
 }
--- a/src/baobab/net/log.cpp
+++ b/src/baobab/net/log.cpp
@@ -1,6 +1,7 @@
 #include "baobab/net/log.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/json.hpp>
 #include <boost/log/core.hpp>
@@ -17,7 +18,8 @@
 struct LogSettings
 {
   bool json = true;
-  LogLevel level = LogLevel::Info;
+  /// Changed while other threads log.
+  std::atomic<LogLevel> level = LogLevel::Info;
   std::map<std::string, LogLevel, std::less<>> channels;
 };
 
@@ -95,6 +97,16 @@
   return line;
 }
 
+void
+AddSink()
+{
+  boost::log::add_console_log(
+    std::clog,
+    boost::log::keywords::format =
+      (boost::log::expressions::stream << boost::log::expressions::smessage),
+    boost::log::keywords::auto_flush = true);
+}
+
 }
 
 void
@@ -114,11 +126,14 @@
     }
     aLevel = comma == std::string_view::npos ? "" : aLevel.substr(comma + 1);
   }
-  boost::log::add_console_log(
-    std::clog,
-    boost::log::keywords::format =
-      (boost::log::expressions::stream << boost::log::expressions::smessage),
-    boost::log::keywords::auto_flush = true);
+  AddSink();
+}
+
+void
+SetLogLevel(std::string_view aLevel)
+{
+  const auto plain = std::string_view(aLevel).substr(0, aLevel.find(','));
+  CurrentSettings().level = ParseLevel(plain);
 }
 
 bool
@@ -126,7 +141,7 @@
 {
   const LogSettings& settings = CurrentSettings();
   const auto channel = settings.channels.find(aChannel);
-  return aLevel >= (channel == settings.channels.end() ? settings.level
+  return aLevel >= (channel == settings.channels.end() ? settings.level.load()
                                                        : channel->second);
 }
 
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -308,7 +308,7 @@
       Log(kChannel, LogLevel::Error, Describe(Failure(next)));
       return;
     }
-    InitLog(Value(next).logFormat, Value(next).logLevel);
+    SetLogLevel(Value(next).logLevel);
     Log(kChannel, LogLevel::Info, "settings read again");
   }
 
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -7,11 +7,10 @@
 #include "baobab/net/log.hpp"
 #include "baobab/net/worker.hpp"
 #include "baobab/node/headers.hpp"
+#include "baobab/node/responses.hpp"
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
-#include <cstdio>
 #include <deque>
 
 namespace baobab {
@@ -20,9 +19,6 @@
 constexpr std::string_view kChannel = "ingress";
 
 constexpr unsigned kServerError = 500;
-constexpr unsigned kBadGateway = 502;
-constexpr unsigned kUnavailable = 503;
-constexpr unsigned kGatewayTimeout = 504;
 
 /// Time for which a target that refused as not ready is left out.
 constexpr Duration kHoldBack = 1s;
@@ -71,70 +67,6 @@
   return Millis(millis);
 }
 
-unsigned
-StatusOf(RefusalReason aReason)
-{
-  switch (aReason) {
-    case RefusalReason::TooLarge:
-      return 413;
-    case RefusalReason::NoTarget:
-    case RefusalReason::Overloaded:
-    case RefusalReason::Leaving:
-    case RefusalReason::NotReady:
-    case RefusalReason::Fenced:
-    case RefusalReason::Unreachable:
-    case RefusalReason::WrongService:
-    case RefusalReason::Cancelled:
-    case RefusalReason::Expired:
-    case RefusalReason::Shed:
-    case RefusalReason::WrongInstance:
-      return kUnavailable;
-    case RefusalReason::Quarantined:
-      return kBadGateway;
-  }
-  return kUnavailable;
-}
-
-Response
-FaultResponse(HttpFault aFault)
-{
-  switch (aFault) {
-    case HttpFault::HeaderTooLarge:
-      return TextResponse(
-        431, "Not run: the request header is too large. Shorten it.\n");
-    case HttpFault::BodyTooLarge:
-      return TextResponse(
-        413, "Not run: the request body is too large for this service.\n");
-    case HttpFault::TooSlow:
-      return TextResponse(
-        408, "Not run: the request took too long to arrive. Send it again.\n");
-    case HttpFault::Malformed:
-      break;
-  }
-  return TextResponse(400, "Not run: this is not a valid HTTP request.\n");
-}
-
-/// Text of a Retry-After header.
-std::string
-RetryAfter(Duration aTime, bool aFractions)
-{
-  const double seconds = std::chrono::duration<double>(aTime).count();
-  if (!aFractions) {
-    return std::to_string(std::max(1, static_cast<int>(std::ceil(seconds))));
-  }
-  char text[16];
-  constexpr double kShortest = 0.05;
-  std::snprintf(text, sizeof text, "%.2f", std::max(kShortest, seconds));
-  return text;
-}
-
-Response
-MarkNotRun(Response aResponse)
-{
-  aResponse.headers.push_back({ std::string(kOutcomeHeader), "not-run" });
-  return aResponse;
-}
-
 CallClass
 ClassOf(const Response& aResponse, const ServiceSpec& aSpec, Duration aLatency)
 {
@@ -673,36 +605,4 @@
     aOutcome);
 }
 
-Response
-NotRunResponse(const NotRun& aRefusal, bool aFractions)
-{
-  const bool again = aRefusal.reason != RefusalReason::Quarantined;
-  const std::string advice =
-    again ? "It is safe to send it again.\n"
-          : "Sending it again will not help; change the request.\n";
-  Response response = MarkNotRun(TextResponse(
-    StatusOf(aRefusal.reason), "Not run: " + aRefusal.detail + ". " + advice));
-  if (again) {
-    response.headers.push_back(
-      { "Retry-After", RetryAfter(aRefusal.retryAfter, aFractions) });
-  }
-  if (aRefusal.retried) {
-    response.headers.push_back({ std::string(kRetriedHeader), "1" });
-  }
-  return response;
-}
-
-Response
-UnknownResponse(const OutcomeUnknown& aUnknown)
-{
-  const bool late = aUnknown.cause == UnknownCause::DeadlinePassed;
-  Response response = TextResponse(
-    late ? kGatewayTimeout : kBadGateway,
-    "Outcome unknown: " + std::string(Describe(aUnknown.cause)) +
-      ". The request may have been carried out. Check before sending it "
-      "again.\n");
-  response.headers.push_back({ std::string(kOutcomeHeader), "unknown" });
-  return response;
-}
-
 }
--- /dev/null
+++ b/src/baobab/node/responses.cpp
@@ -0,0 +1,114 @@
+#include "baobab/node/responses.hpp"
+
+#include "baobab/node/headers.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace baobab {
+namespace {
+
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+
+unsigned
+StatusOf(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::TooLarge:
+      return 413;
+    case RefusalReason::NoTarget:
+    case RefusalReason::Overloaded:
+    case RefusalReason::Leaving:
+    case RefusalReason::NotReady:
+    case RefusalReason::Fenced:
+    case RefusalReason::Unreachable:
+    case RefusalReason::WrongService:
+    case RefusalReason::Cancelled:
+    case RefusalReason::Expired:
+    case RefusalReason::Shed:
+    case RefusalReason::WrongInstance:
+      return kUnavailable;
+    case RefusalReason::Quarantined:
+      return kBadGateway;
+  }
+  return kUnavailable;
+}
+
+/// Text of a Retry-After header.
+std::string
+RetryAfter(Duration aTime, bool aFractions)
+{
+  const double seconds = std::chrono::duration<double>(aTime).count();
+  if (!aFractions) {
+    return std::to_string(std::max(1, static_cast<int>(std::ceil(seconds))));
+  }
+  char text[16];
+  constexpr double kShortest = 0.05;
+  std::snprintf(text, sizeof text, "%.2f", std::max(kShortest, seconds));
+  return text;
+}
+
+}
+
+Response
+FaultResponse(HttpFault aFault)
+{
+  switch (aFault) {
+    case HttpFault::HeaderTooLarge:
+      return TextResponse(
+        431, "Not run: the request header is too large. Shorten it.\n");
+    case HttpFault::BodyTooLarge:
+      return TextResponse(
+        413, "Not run: the request body is too large for this service.\n");
+    case HttpFault::TooSlow:
+      return TextResponse(
+        408, "Not run: the request took too long to arrive. Send it again.\n");
+    case HttpFault::Malformed:
+      break;
+  }
+  return TextResponse(400, "Not run: this is not a valid HTTP request.\n");
+}
+
+Response
+MarkNotRun(Response aResponse)
+{
+  aResponse.headers.push_back({ std::string(kOutcomeHeader), "not-run" });
+  return aResponse;
+}
+
+Response
+NotRunResponse(const NotRun& aRefusal, bool aFractions)
+{
+  const bool again = aRefusal.reason != RefusalReason::Quarantined;
+  const std::string advice =
+    again ? "It is safe to send it again.\n"
+          : "Sending it again will not help; change the request.\n";
+  Response response = MarkNotRun(TextResponse(
+    StatusOf(aRefusal.reason), "Not run: " + aRefusal.detail + ". " + advice));
+  if (again) {
+    response.headers.push_back(
+      { "Retry-After", RetryAfter(aRefusal.retryAfter, aFractions) });
+  }
+  if (aRefusal.retried) {
+    response.headers.push_back({ std::string(kRetriedHeader), "1" });
+  }
+  return response;
+}
+
+Response
+UnknownResponse(const OutcomeUnknown& aUnknown)
+{
+  const bool late = aUnknown.cause == UnknownCause::DeadlinePassed;
+  Response response = TextResponse(
+    late ? kGatewayTimeout : kBadGateway,
+    "Outcome unknown: " + std::string(Describe(aUnknown.cause)) +
+      ". The request may have been carried out. Check before sending it "
+      "again.\n");
+  response.headers.push_back({ std::string(kOutcomeHeader), "unknown" });
+  return response;
+}
+
+}
