--- a/cmake/baobab_targets.cmake
+++ b/cmake/baobab_targets.cmake
@@ -26,6 +26,8 @@
     add_library(${name} STATIC ${sources})
     target_include_directories(${name} PUBLIC include PRIVATE src)
     target_link_libraries(${name} PUBLIC ${ARG_LIBRARIES})
+    target_compile_definitions(${name} PRIVATE
+      BAOBAB_VERSION="${PROJECT_VERSION}")
   else()
     add_library(${name} INTERFACE)
     target_include_directories(${name} INTERFACE include)
--- a/include/baobab/core/locality.hpp
+++ b/include/baobab/core/locality.hpp
@@ -1,8 +1,11 @@
 /// @file
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace baobab {
 
@@ -25,6 +28,16 @@
 
 constexpr std::size_t kTierCount = 3;
 
+/// Returns the name of a distance in logs.
+constexpr std::string_view
+Name(Tier aTier)
+{
+  constexpr std::array<std::string_view, kTierCount> kNames = {
+    "same-zone", "same-region", "other-region"
+  };
+  return kNames[static_cast<std::size_t>(aTier)];
+}
+
 /// Returns the distance between two localities.
 inline Tier
 TierBetween(const Locality& aFrom, const Locality& aTo)
--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -117,6 +117,8 @@
   std::int64_t headerBytes = 16384;
   std::string logFormat = "json";
   std::string logLevel = "info";
+  /// Part of the calls of which every step is logged, whatever their outcome.
+  double logCallShare = 0.01;
   Timeouts timeouts;
   ControlBudget control;
 
--- a/include/baobab/decision/retry_budget.hpp
+++ b/include/baobab/decision/retry_budget.hpp
@@ -37,12 +37,16 @@
   /// Takes one retry. Returns false if none is left.
   bool Spend();
 
+  /// Returns how many retries were denied since the last call.
+  std::uint64_t TakeDenied() { return this->denied.exchange(0); }
+
 private:
   static constexpr std::int64_t kToken = 1000000;
 
   std::atomic<std::int64_t> earned;
   std::atomic<std::int64_t> limit;
   std::atomic<std::int64_t> tokens;
+  std::atomic<std::uint64_t> denied{ 0 };
 };
 
 }
--- a/include/baobab/decision/second_send.hpp
+++ b/include/baobab/decision/second_send.hpp
@@ -2,8 +2,11 @@
 /// Decides whether a call whose host has turned slow is sent once more.
 #pragma once
 
+#include "baobab/core/outcome.hpp"
 #include "baobab/core/time.hpp"
 
+#include <optional>
+
 namespace baobab {
 
 /// A call that runs on a host which has just turned slow.
@@ -31,4 +34,9 @@
 /// come otherwise.
 bool SecondSendPays(const SlowedCall& aCall);
 
+/// The outcome of a call that was sent to two targets. "Not run" needs that
+/// neither of them may have run it.
+/// @param aSecond outcome of the second attempt; nothing while it runs
+Outcome CombineOutcomes(Outcome aFirst, std::optional<Outcome> aSecond);
+
 }
--- a/include/baobab/decision/target_load.hpp
+++ b/include/baobab/decision/target_load.hpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <optional>
 
 namespace baobab {
 
@@ -20,6 +21,20 @@
   double slowness = 1;
 };
 
+/// The newest report on a target and what this daemon has added to it since.
+struct KnownLoad
+{
+  /// Calls of other daemons there, as last reported.
+  std::int32_t others = 0;
+  /// Calls of this daemon that are in flight there.
+  std::int32_t own = 0;
+  std::int32_t slots = 0;
+  /// Slowness of the host in percent, as last reported.
+  std::uint16_t slowness = 100;
+  /// Age of the report; nothing without one.
+  std::optional<Duration> age;
+};
+
 /// What one daemon knows about the load of one target. Lock-free.
 class TargetLoad
 {
@@ -67,6 +82,9 @@
   /// Calls of other daemons per slot, as last reported.
   double OthersPerSlot() const;
 
+  /// Returns the figures behind the estimates, for logs.
+  KnownLoad Known(TimePoint aNow) const;
+
   std::int32_t OwnInFlight() const { return this->own.load(); }
 
 private:
--- /dev/null
+++ b/include/baobab/net/log_event.hpp
@@ -0,0 +1,61 @@
+/// @file
+/// Kinds of log lines. Each kind has a name and fields that never change
+/// their meaning, so that programs can read the logs.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace baobab {
+
+enum class LogLevel : std::uint8_t
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+/// Whether lines of an event may be left out.
+enum class LogKeep : std::uint8_t
+{
+  /// Only dropped when the queue of lines is full.
+  Always,
+  /// Ordinary progress of a call, left out first.
+  Ordinary,
+};
+
+/// A named value of an event.
+struct LogField
+{
+  std::string_view name;
+  std::string_view help;
+};
+
+/// A kind of log line.
+template<std::size_t N>
+struct LogEvent
+{
+  /// Stable name, in the line's `event`.
+  std::string_view name;
+  /// Part of the program, in the line's `channel`.
+  std::string_view channel;
+  LogLevel level;
+  LogKeep keep;
+  std::string_view help;
+  std::array<LogField, N> fields;
+};
+
+/// Returns the name of a level, as in log lines.
+constexpr std::string_view
+Name(LogLevel aLevel)
+{
+  constexpr std::array<std::string_view, 4> kNames = {
+    "debug", "info", "warning", "error"
+  };
+  return kNames[static_cast<std::size_t>(aLevel)];
+}
+
+}
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -6,8 +6,11 @@
 #include "baobab/decision/call_ledger.hpp"
 #include "baobab/decision/quarantine.hpp"
 #include "baobab/decision/target_register.hpp"
-#include "baobab/net/frame_connection.hpp"
+#include "baobab/node/admission_log.hpp"
+#include "baobab/node/crash_watch.hpp"
+#include "baobab/node/load_reporter.hpp"
 #include "baobab/node/route_table.hpp"
+#include "baobab/node/sender_connections.hpp"
 #include "baobab/node/target_client.hpp"
 
 #include <functional>
@@ -16,20 +19,6 @@
 
 namespace baobab {
 
-/// A connection from another daemon after its Hello.
-struct SenderConnection
-{
-  std::uint64_t sender = 0;
-  ConnectionNumber number = 0;
-  /// True if the other daemon is in another region.
-  bool across = false;
-  std::shared_ptr<FrameConnection> frames;
-  /// Last load report on this connection.
-  LoadReport reported;
-  TimePoint reportedAt;
-  TimePoint lastCall;
-};
-
 /// Runs the calls that other daemons send for the local target. It belongs to
 /// one thread.
 class CallServer
@@ -101,41 +90,56 @@
   {
     bool suspect = false;
     TimePoint arrived;
+    TimePoint began;
+    TimePoint deadline;
+    /// Time until which an answer has its full worth.
+    TimePoint objective;
     /// Slowness of the host at the start; 1 is the usual.
     double slowness = 1;
     TargetControl control;
   };
 
   void Decide(CallMessage aCall, TimePoint aDeadline);
+  std::optional<NotRun> RefusalOf(const CallMessage& aCall);
   void Settle(const std::vector<Dequeued>& aDequeued);
   void Refuse(const CallId& aId, NotRun aRefusal);
-  void Start(CallMessage aCall, TimePoint aArrived, TimePoint aDeadline);
+  void RefuseCall(const CallMessage& aCall,
+                  NotRun aRefusal,
+                  TimePoint aArrived,
+                  TimePoint aDeadline);
+  void RefuseWaiting(const CallId& aId, NotRun aRefusal);
+  void Start(Waiting aWaiting);
   void RunCall(const CallMessage& aCall, TimePoint aDeadline);
   void Conclude(const CallMessage& aCall,
                 TargetResult aResult,
-                Micros aWork,
-                Micros aHeld);
+                const Running& aRun);
+  void Answer(const CallMessage& aCall,
+              Response aResponse,
+              const Running& aRun);
+  void Lose(const CallMessage& aCall, UnknownCause aCause, const Running& aRun);
   void TakeLoad(const LoadReport& aLoad);
   void SpreadLoad();
-  bool Charge(const SenderConnection& aConnection, std::int64_t aBytes);
   bool AnotherSuspectRuns() const;
   void NoteBroken(Fingerprint aFingerprint);
-  void CheckForCrash(const std::vector<CallId>& aTogether);
-  std::optional<LoadReport> ChargedReport(const CallId& aId);
-  SenderConnection* ConnectionOf(const CallId& aId);
+  Duration SuspicionLifetime() const;
+  std::optional<LoadReport> ReportFor(const CallId& aId);
+  LoggedCall Logged(const CallMessage& aCall,
+                    TimePoint aArrived,
+                    TimePoint aDeadline) const;
 
   TargetClient& target;
   Quarantine& quarantine;
   RouteLookup lookup;
   const Settings& settings;
+  CrashWatch crashes;
   Admission admission;
   CallLedger ledger;
   bool leaving = false;
   TargetRegister targets;
-  std::unordered_map<std::uint64_t, SenderConnection> senders;
+  SenderConnections senders;
+  LoadReporter reporter{ this->senders };
   std::unordered_map<CallId, Waiting> waiting;
   std::unordered_map<CallId, Running> running;
-  std::vector<Fingerprint> broken;
   /// Last time that the target reported its load, and that a call came.
   TimePoint loadKnownAt;
   TimePoint lastCallAt;
--- a/include/baobab/node/config_agent.hpp
+++ b/include/baobab/node/config_agent.hpp
@@ -3,6 +3,7 @@
 
 #include "baobab/core/settings.hpp"
 #include "baobab/decision/membership.hpp"
+#include "baobab/decision/pull_plan.hpp"
 #include "baobab/net/config_source.hpp"
 #include "baobab/net/frame_connection.hpp"
 #include "baobab/node/control_pacer.hpp"
@@ -59,6 +60,7 @@
   bool IsReader() const;
   void WatchStore();
   void Take(const Result<std::optional<ConfigDelta>>& aRead);
+  void NoteStore(const Result<std::optional<ConfigDelta>>& aRead);
   void Pull(const Endpoint& aPeer);
   Result<ConfigDelta> Request(const Endpoint& aPeer, std::uint64_t aSince);
   Result<Done> Adopt(const ConfigDelta& aDelta, std::string_view aSource);
@@ -69,9 +71,11 @@
   ControlPacer& pacer;
   const Settings& settings;
   std::unique_ptr<ConfigSource> source;
-  bool pulling = false;
+  PullPlan pulls;
   bool askedStore = false;
   TimePoint heardAt;
+  /// Set while the store does not answer.
+  std::optional<TimePoint> storeLostAt;
   SplitMix random;
 };
 
--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -17,6 +17,7 @@
 /// Outcome of one attempt and the load that came with it.
 struct AttemptResult
 {
+  CallId id;
   Outcome outcome;
   std::optional<LoadReport> load;
   /// Of an answer: time that the target took, as if its host were unhurried,
@@ -47,6 +48,8 @@
   Duration work = Duration::zero();
   /// Time in which another target is believed to finish; 0 if there is none.
   Duration alternative = Duration::zero();
+  /// True if every step of the call is logged.
+  bool traced = false;
 };
 
 /// Identity of the sending end of a worker's links.
@@ -116,6 +119,8 @@
   ConnectionNumber number = 0;
   std::uint64_t nextSequence = 1;
   std::uint64_t incarnation = 0;
+  /// True if the last connection was given up because it was silent.
+  bool silent = false;
   bool maintained = false;
   bool ready = false;
   std::shared_ptr<FrameConnection> connection;
--- a/include/baobab/node/route_table.hpp
+++ b/include/baobab/node/route_table.hpp
@@ -8,7 +8,7 @@
 #include "baobab/decision/configuration.hpp"
 #include "baobab/decision/member.hpp"
 #include "baobab/decision/target_load.hpp"
-#include "baobab/node/route_state.hpp"
+#include "baobab/node/route_index.hpp"
 #include "baobab/node/service_state.hpp"
 
 #include <algorithm>
@@ -44,44 +44,6 @@
   std::array<std::vector<std::shared_ptr<TargetRef>>, kTierCount> tiers;
 };
 
-/// A service that answers a part of a route's calls.
-struct RouteShare
-{
-  std::int64_t weight = 1;
-  std::shared_ptr<const ServiceRoute> service;
-};
-
-/// A route with the services that answer it.
-struct Route
-{
-  RouteSpec spec;
-  /// Service whose file declares the route.
-  std::shared_ptr<const ConfiguredService> owner;
-  std::vector<RouteShare> shares;
-  std::shared_ptr<RouteState> state;
-
-  /// Picks a service by weight; null if none of them is configured.
-  template<RandomSource R>
-  std::shared_ptr<const ServiceRoute> Pick(R& aRandom) const
-  {
-    std::int64_t total = 0;
-    for (const RouteShare& share : this->shares) {
-      total += share.weight;
-    }
-    if (total <= 0) {
-      return nullptr;
-    }
-    auto drawn = static_cast<std::int64_t>(
-      Below(aRandom, static_cast<std::size_t>(total)));
-    const auto picked =
-      std::ranges::find_if(this->shares, [&](const RouteShare& aShare) {
-        drawn -= aShare.weight;
-        return drawn < 0;
-      });
-    return picked->service;
-  }
-};
-
 /// All services. Never changed once built.
 class RouteTable
 {
@@ -89,7 +51,10 @@
   /// Finds the route of a request: the longest matching path prefix, and a
   /// named host before none.
   std::shared_ptr<const Route> Find(std::string_view aHost,
-                                    std::string_view aTarget) const;
+                                    std::string_view aTarget) const
+  {
+    return this->index->Find(aHost, aTarget);
+  }
 
   /// Finds a service by name.
   std::shared_ptr<const ServiceRoute> Find(std::string_view aService) const;
@@ -104,11 +69,7 @@
   std::uint64_t generation = 0;
   /// The tightest limits of all service files.
   CallerLimits callers;
-
-private:
-  friend class RouteBuilder;
-  std::unordered_map<std::string, std::vector<std::shared_ptr<const Route>>>
-    byHost;
+  std::shared_ptr<const RouteIndex> index = std::make_shared<RouteIndex>();
 };
 
 /// Builds tables out of changes, and carries the state of services and
@@ -128,9 +89,11 @@
   /// Leaves out the targets of these regions.
   void SetSilentRegions(std::vector<std::string> aRegions);
 
+  /// Takes over a configuration.
+  void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
+
   /// Builds the next table.
-  std::unique_ptr<RouteTable> Build(const Configuration& aConfiguration,
-                                    std::vector<std::uint64_t> aSuspects);
+  std::unique_ptr<RouteTable> Build(std::vector<std::uint64_t> aSuspects);
 
 private:
   struct Target
@@ -150,16 +113,17 @@
   std::shared_ptr<const ServiceRoute> RouteOf(
     const std::shared_ptr<const ConfiguredService>& aService);
   void Withdraw(const Endpoint& aEndpoint);
-  void AddRoutes(RouteTable& aTable,
-                 const std::shared_ptr<const ConfiguredService>& aOwner);
 
   Locality locality;
   std::vector<std::string> silentRegions;
   std::unordered_map<std::string, Service> services;
   /// Service under which each target stands.
   std::unordered_map<Endpoint, std::string> serviceOf;
-  /// What was learned about routes, by host and path prefix.
-  std::unordered_map<std::string, std::shared_ptr<RouteState>> learned;
+  LearnedRoutes learned;
+  std::shared_ptr<const Configuration> configuration =
+    std::make_shared<const Configuration>();
+  /// Built with the configuration; members come and go without it.
+  std::shared_ptr<const RouteIndex> index = std::make_shared<RouteIndex>();
 };
 
 }
--- a/include/baobab/wire/peer_message.hpp
+++ b/include/baobab/wire/peer_message.hpp
@@ -51,6 +51,8 @@
   /// Time in which another target is believed to finish it; 0 if there is
   /// none to hand it back for.
   Micros alternative{ 0 };
+  /// True if every step of the call is logged.
+  bool traced = false;
 };
 
 struct AnswerMessage
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -199,6 +199,14 @@
       [](S& s) -> auto& { return s.logLevel; },
       ParseLogLevel,
       "Lowest level that is logged: debug, info (default), warning, error."),
+    Real<S>(
+      "log.call_share",
+      [](S& s) -> auto& { return s.logCallShare; },
+      0,
+      1,
+      "fraction of calls",
+      "Calls of which every step is logged; calls that do not end well are "
+      "logged always."),
     TimeoutField(
       "caller_header_ms",
       [](S& s) -> auto& { return s.timeouts.callerHeader; },
--- a/src/baobab/decision/retry_budget.cpp
+++ b/src/baobab/decision/retry_budget.cpp
@@ -53,6 +53,7 @@
       return true;
     }
   }
+  this->denied.fetch_add(1, std::memory_order_relaxed);
   return false;
 }
 
--- /dev/null
+++ b/src/baobab/decision/saved_budget_test.cpp
@@ -0,0 +1,32 @@
+#include "baobab/decision/saved_budget.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace baobab {
+namespace {
+
+constexpr TimePoint kNow{ 1h };
+
+}
+
+BOOST_AUTO_TEST_SUITE(saved_budget)
+
+BOOST_AUTO_TEST_CASE(what_was_saved_goes_at_once_and_the_mean_holds)
+{
+  SavedBudget budget(1000, 60s, kNow);
+  BOOST_TEST(budget.Charge(40000, kNow));
+  BOOST_TEST(budget.Charge(40000, kNow));
+  BOOST_TEST(!budget.Charge(1, kNow + 19s));
+  BOOST_TEST(budget.Charge(1, kNow + 21s));
+}
+
+BOOST_AUTO_TEST_CASE(no_more_is_saved_than_allowed)
+{
+  SavedBudget budget(1000, 10s, kNow);
+  BOOST_TEST(budget.Charge(10001, kNow + 1h));
+  BOOST_TEST(!budget.Charge(1, kNow + 1h));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- a/src/baobab/decision/second_send.cpp
+++ b/src/baobab/decision/second_send.cpp
@@ -35,4 +35,22 @@
   return gains(aCall.objective) || gains(aCall.deadline);
 }
 
+Outcome
+CombineOutcomes(Outcome aFirst, std::optional<Outcome> aSecond)
+{
+  const auto isAnswer = [](const Outcome& aOutcome) {
+    return std::holds_alternative<Answered>(aOutcome);
+  };
+  if (isAnswer(aFirst)) {
+    return aFirst;
+  }
+  const bool firstNotRun = std::holds_alternative<NotRun>(aFirst);
+  if (!aSecond) {
+    return firstNotRun ? Outcome(OutcomeUnknown{ UnknownCause::DeadlinePassed })
+                       : std::move(aFirst);
+  }
+  const bool secondNotRun = std::holds_alternative<NotRun>(*aSecond);
+  return secondNotRun ? std::move(aFirst) : *std::move(aSecond);
+}
+
 }
--- a/src/baobab/decision/second_send_test.cpp
+++ b/src/baobab/decision/second_send_test.cpp
@@ -64,6 +64,32 @@
   BOOST_TEST((ExpectedStay(call) < 2s + 400ms));
 }
 
+/// Found by reading: the first attempt was handed back, the second one still
+/// ran at the deadline, and the caller was told "not run".
+BOOST_AUTO_TEST_CASE(an_attempt_that_still_runs_leaves_the_outcome_unknown)
+{
+  const Outcome outcome = CombineOutcomes(NotRun{}, std::nullopt);
+  BOOST_TEST(std::holds_alternative<OutcomeUnknown>(outcome));
+}
+
+BOOST_AUTO_TEST_CASE(not_run_needs_both_attempts)
+{
+  BOOST_TEST(std::holds_alternative<NotRun>(
+    CombineOutcomes(NotRun{}, Outcome(NotRun{}))));
+  BOOST_TEST(std::holds_alternative<OutcomeUnknown>(
+    CombineOutcomes(NotRun{}, Outcome(OutcomeUnknown{}))));
+  BOOST_TEST(std::holds_alternative<OutcomeUnknown>(
+    CombineOutcomes(OutcomeUnknown{}, Outcome(NotRun{}))));
+}
+
+BOOST_AUTO_TEST_CASE(the_answer_of_either_attempt_is_the_calls)
+{
+  BOOST_TEST(std::holds_alternative<Answered>(
+    CombineOutcomes(OutcomeUnknown{}, Outcome(Answered{}))));
+  BOOST_TEST(std::holds_alternative<Answered>(
+    CombineOutcomes(Answered{}, Outcome(NotRun{}))));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/src/baobab/decision/target_load.cpp
+++ b/src/baobab/decision/target_load.cpp
@@ -160,4 +160,15 @@
   return std::min(band, kBands - 1);
 }
 
+KnownLoad
+TargetLoad::Known(TimePoint aNow) const
+{
+  KnownLoad known{ this->others, this->own, this->slots, this->slowness };
+  const std::int64_t reported = this->reportedAt;
+  if (reported != 0) {
+    known.age = Duration(Nanos(aNow) - reported);
+  }
+  return known;
+}
+
 }
--- a/src/baobab/net/log.cpp
+++ b/src/baobab/net/log.cpp
@@ -1,61 +1,67 @@
 #include "baobab/net/log.hpp"
 
+#include "baobab/net/log_events.hpp"
+#include "log_sink.hpp"
+
 #include <algorithm>
 #include <atomic>
 #include <boost/date_time/posix_time/posix_time.hpp>
-#include <boost/json.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
-#include <map>
+#include <boost/make_shared.hpp>
+#include <semaphore>
+#include <thread>
 
 namespace baobab {
 namespace {
 
-struct LogSettings
+/// Time in which lines are collected before they are written together.
+constexpr Duration kCollectTime = 100ms;
+
+/// Shortest time between two reports of dropped lines.
+constexpr Duration kDropReport = 1s;
+
+/// Time that a stop waits for the reader of the log.
+constexpr Duration kStopTime = 300ms;
+constexpr Duration kStopCheck = 5ms;
+
+/// Lines in the queue from which ordinary ones are left out.
+constexpr std::size_t kOrdinaryLines = kLogQueueLines / 2;
+
+struct LogState
 {
-  bool json = true;
-  /// Changed while other threads log.
+  std::atomic<bool> started = false;
+  LogFormat format = LogFormat::Json;
   std::atomic<LogLevel> level = LogLevel::Info;
-  std::map<std::string, LogLevel, std::less<>> channels;
+  boost::shared_ptr<DescriptorBackend> backend;
+  boost::shared_ptr<LogSink> sink;
+  /// Raised by the first line after the writer went to sleep.
+  std::atomic<bool> due = false;
+  std::counting_semaphore<> wake{ 0 };
+  std::atomic<bool> stopping = false;
+  std::atomic<bool> stopped = false;
 };
 
-LogSettings&
-CurrentSettings()
+/// Never destroyed: the writer may still run while the process ends.
+LogState&
+State()
 {
-  static LogSettings settings;
-  return settings;
+  static auto* state = new LogState();
+  return *state;
 }
 
 LogLevel
 ParseLevel(std::string_view aText)
 {
-  if (aText == "debug") {
-    return LogLevel::Debug;
-  }
-  if (aText == "warning") {
-    return LogLevel::Warning;
-  }
-  return aText == "error" ? LogLevel::Error : LogLevel::Info;
-}
-
-std::string_view
-NameOf(LogLevel aLevel)
-{
-  switch (aLevel) {
-    case LogLevel::Debug:
-      return "debug";
-    case LogLevel::Info:
-      return "info";
-    case LogLevel::Warning:
-      return "warning";
-    case LogLevel::Error:
-      break;
+  for (const LogLevel level :
+       { LogLevel::Debug, LogLevel::Warning, LogLevel::Error }) {
+    if (Name(level) == aText) {
+      return level;
+    }
   }
-  return "error";
+  return LogLevel::Info;
 }
 
 std::string
@@ -66,99 +72,124 @@
          "Z";
 }
 
-std::string
-JsonLine(std::string_view aChannel,
-         LogLevel aLevel,
-         std::string_view aMessage,
-         const std::vector<LogField>& aFields)
+void
+ReportDropped(TimePoint& aReportedAt)
 {
-  boost::json::object line;
-  line["time"] = TimeNow();
-  line["level"] = NameOf(aLevel);
-  line["channel"] = aChannel;
-  line["message"] = aMessage;
-  for (const LogField& field : aFields) {
-    line[field.name] = field.value;
+  const TimePoint now = std::chrono::steady_clock::now();
+  if (now - aReportedAt < kDropReport) {
+    return;
   }
-  return boost::json::serialize(line);
-}
-
-std::string
-TextLine(std::string_view aChannel,
-         LogLevel aLevel,
-         std::string_view aMessage,
-         const std::vector<LogField>& aFields)
-{
-  std::string line = TimeNow() + " " + std::string(NameOf(aLevel)) + " " +
-                     std::string(aChannel) + ": " + std::string(aMessage);
-  for (const LogField& field : aFields) {
-    line += " " + std::string(field.name) + "=" + field.value;
+  const std::size_t dropped = QueueState().dropped.exchange(0);
+  if (dropped == 0) {
+    return;
   }
-  return line;
+  aReportedAt = now;
+  LogLine line = log_detail::Begin(
+    kLogDropped.name, kLogDropped.channel, kLogDropped.level);
+  line.Add(kLogDropped.fields[0].name, dropped);
+  State().backend->Append(std::move(line).Finish());
 }
 
+/// Writes lines until the log stops.
 void
-AddSink()
+RunWriter()
 {
-  boost::log::add_console_log(
-    std::clog,
-    boost::log::keywords::format =
-      (boost::log::expressions::stream << boost::log::expressions::smessage),
-    boost::log::keywords::auto_flush = true);
+  LogState& state = State();
+  TimePoint reportedAt{};
+  while (!state.stopping) {
+    state.wake.acquire();
+    if (!state.stopping) {
+      std::this_thread::sleep_for(kCollectTime);
+    }
+    state.due = false;
+    state.sink->feed_records();
+    ReportDropped(reportedAt);
+    state.backend->Write();
+  }
+  state.stopped = true;
 }
 
 }
 
 void
-InitLog(std::string_view aFormat, std::string_view aLevel)
+InitLog(const LogOptions& aOptions)
 {
-  LogSettings& settings = CurrentSettings();
-  settings.json = aFormat != "text";
-  while (!aLevel.empty()) {
-    const auto comma = aLevel.find(',');
-    const std::string_view part = aLevel.substr(0, comma);
-    const auto equals = part.find('=');
-    if (equals == std::string_view::npos) {
-      settings.level = ParseLevel(part);
-    } else {
-      settings.channels[std::string(part.substr(0, equals))] =
-        ParseLevel(part.substr(equals + 1));
-    }
-    aLevel = comma == std::string_view::npos ? "" : aLevel.substr(comma + 1);
+  LogState& state = State();
+  if (state.started) {
+    return;
   }
-  AddSink();
+  state.format = aOptions.format;
+  state.level = ParseLevel(aOptions.level);
+  state.backend = boost::make_shared<DescriptorBackend>(aOptions.descriptor);
+  state.sink = boost::make_shared<LogSink>(state.backend, false);
+  state.sink->set_formatter(boost::log::expressions::stream
+                            << boost::log::expressions::smessage);
+  boost::log::core::get()->add_sink(state.sink);
+  state.started = true;
+  std::thread(RunWriter).detach();
 }
 
 void
 SetLogLevel(std::string_view aLevel)
 {
-  const auto plain = std::string_view(aLevel).substr(0, aLevel.find(','));
-  CurrentSettings().level = ParseLevel(plain);
+  State().level = ParseLevel(aLevel);
+}
+
+void
+StopLog()
+{
+  LogState& state = State();
+  if (!state.started) {
+    return;
+  }
+  state.stopping = true;
+  state.wake.release();
+  const TimePoint end = std::chrono::steady_clock::now() + kStopTime;
+  while (!state.stopped && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kStopCheck);
+  }
 }
 
 bool
-LogEnabled(std::string_view aChannel, LogLevel aLevel)
+LogEnabled(LogLevel aLevel, LogKeep aKeep)
 {
-  const LogSettings& settings = CurrentSettings();
-  const auto channel = settings.channels.find(aChannel);
-  return aLevel >= (channel == settings.channels.end() ? settings.level.load()
-                                                       : channel->second);
+  LogState& state = State();
+  if (!state.started || aLevel < state.level) {
+    return false;
+  }
+  if (aKeep == LogKeep::Ordinary &&
+      QueueState().waiting >= kOrdinaryLines) {
+    ++QueueState().dropped;
+    return false;
+  }
+  return true;
+}
+
+namespace log_detail {
+
+LogLine
+Begin(std::string_view aEvent, std::string_view aChannel, LogLevel aLevel)
+{
+  LogLine line(State().format);
+  line.Add("time", std::string_view(TimeNow()));
+  line.Add("level", Name(aLevel));
+  line.Add("channel", aChannel);
+  line.Add("event", aEvent);
+  return line;
 }
 
 void
-Log(std::string_view aChannel,
-    LogLevel aLevel,
-    std::string_view aMessage,
-    const std::vector<LogField>& aFields)
+Submit(LogLine&& aLine)
 {
-  if (!LogEnabled(aChannel, aLevel)) {
-    return;
-  }
-  const std::string line = CurrentSettings().json
-                             ? JsonLine(aChannel, aLevel, aMessage, aFields)
-                             : TextLine(aChannel, aLevel, aMessage, aFields);
+  LogState& state = State();
   thread_local boost::log::sources::logger logger;
-  BOOST_LOG(logger) << line;
+  ++QueueState().waiting;
+  BOOST_LOG(logger) << std::move(aLine).Finish();
+  if (!state.due.exchange(true)) {
+    state.wake.release();
+  }
+}
+
 }
 
 }
--- /dev/null
+++ b/src/baobab/net/log_events.cpp
@@ -0,0 +1,80 @@
+#include "baobab/net/log_events.hpp"
+
+namespace baobab {
+namespace {
+
+/// Calls a function with every event, in the order of the reference.
+template<class F>
+void
+ForEachEvent(F aFunction)
+{
+  const auto all = [&](const auto&... aEvents) { (aFunction(aEvents), ...); };
+  all(kStarted,
+      kDraining,
+      kStopped,
+      kSettingsApplied,
+      kSettingsRejected,
+      kLogDropped,
+      kTargetState,
+      kTargetDeparted,
+      kAnnouncementOutdated,
+      kAnnouncementForeign,
+      kAnnouncementInvalid,
+      kTargetCrashed,
+      kMemberState,
+      kConfigurationAdopted,
+      kConfigurationRejected,
+      kRetriesDenied,
+      kStoreLost,
+      kStoreRegained,
+      kPullFailed,
+      kPeersMissing,
+      kStatusInvalid,
+      kLinkConnectFailed,
+      kLinkLost,
+      kPeerMessageInvalid,
+      kCallAttempt,
+      kCallEnded,
+      kSecondSent,
+      kCallQueued,
+      kCallStarted,
+      kCallRefused,
+      kCallFinished,
+      kCallLost,
+      kCallFenced);
+}
+
+std::string
+Section(std::string_view aName,
+        std::string_view aChannel,
+        LogLevel aLevel,
+        LogKeep aKeep,
+        std::string_view aHelp)
+{
+  std::string text = "### `" + std::string(aName) + "`\n\n";
+  text += std::string(aHelp) + "\n\nChannel `" + std::string(aChannel) +
+          "`, level `" + std::string(Name(aLevel)) + "`" +
+          (aKeep == LogKeep::Ordinary ? ", left out first" : "") + ".\n\n";
+  return text;
+}
+
+}
+
+std::string
+LogReference()
+{
+  std::string page;
+  ForEachEvent([&](const auto& aEvent) {
+    page += Section(
+      aEvent.name, aEvent.channel, aEvent.level, aEvent.keep, aEvent.help);
+    page += "| field | meaning |\n| --- | --- |\n";
+    for (const LogField& field : aEvent.fields) {
+      page += "| `" + std::string(field.name) + "` | " +
+              std::string(field.help) + " |\n";
+    }
+    page += "\n";
+  });
+  return page;
+}
+
+}
--- a/src/baobab/net/log_test.cpp
+++ b/src/baobab/net/log_test.cpp
@@ -1,28 +1,151 @@
 #include "baobab/net/log.hpp"
 
+#include "baobab/net/log_events.hpp"
+
 #include <algorithm>
+#include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
-#include <iostream>
+#include <fstream>
+#include <poll.h>
 #include <sstream>
+#include <string>
+#include <unistd.h>
+#include <vector>
 
 namespace baobab {
+namespace {
+
+/// A pipe that nobody reads until it is asked to. The log of the process goes
+/// there; it is started once.
+class LogPipe
+{
+public:
+  LogPipe()
+  {
+    BOOST_REQUIRE(pipe(this->ends) == 0);
+    InitLog({ LogFormat::Json, "info", this->ends[1] });
+  }
+
+  /// Reads lines until one holds a text.
+  std::vector<std::string> ReadUntil(std::string_view aText)
+  {
+    std::vector<std::string> lines;
+    while (lines.empty() || lines.back().find(aText) == std::string::npos) {
+      lines.push_back(this->ReadLine());
+    }
+    return lines;
+  }
+
+private:
+  std::string ReadLine()
+  {
+    while (this->text.find('\n') == std::string::npos) {
+      char bytes[4096];
+      const ssize_t count = read(this->ends[0], bytes, sizeof bytes);
+      BOOST_REQUIRE(count > 0);
+      this->text.append(bytes, static_cast<std::size_t>(count));
+    }
+    const auto end = this->text.find('\n');
+    std::string line = this->text.substr(0, end);
+    this->text.erase(0, end + 1);
+    return line;
+  }
+
+  int ends[2];
+  std::string text;
+};
+
+LogPipe&
+ThePipe()
+{
+  static auto* pipe = new LogPipe();
+  return *pipe;
+}
+
+}
 
 BOOST_AUTO_TEST_SUITE(log)
 
+BOOST_AUTO_TEST_CASE(a_line_is_json_with_the_events_fields)
+{
+  LogPipe& pipe = ThePipe();
+  Log(kTargetState, "i-\"1\"\n\xff", "ready", 18);
+  const auto lines = pipe.ReadUntil("target_state");
+  const auto line = boost::json::parse(lines.back()).as_object();
+  BOOST_TEST(line.at("event").as_string() == "target_state");
+  BOOST_TEST(line.at("level").as_string() == "info");
+  BOOST_TEST(line.at("channel").as_string() == "target");
+  BOOST_TEST(line.at("instance").as_string() == "i-\"1\"\n\u00ff");
+  BOOST_TEST(line.at("slots").as_int64() == 18);
+}
+
 /// Found by reading: settings that were read again added a second sink, so
 /// that every line was written twice from then on.
 BOOST_AUTO_TEST_CASE(a_changed_level_writes_each_line_once)
 {
-  std::ostringstream written;
-  std::streambuf* const before = std::clog.rdbuf(written.rdbuf());
-  InitLog("json", "warning");
-  Log("test", LogLevel::Info, "left out");
+  LogPipe& pipe = ThePipe();
+  SetLogLevel("warning");
+  Log(kTargetDeparted, "left-out");
   SetLogLevel("info");
-  Log("test", LogLevel::Info, "written");
-  std::clog.rdbuf(before);
-  const std::string text = written.str();
-  BOOST_TEST(std::ranges::count(text, '\n') == 1);
-  BOOST_TEST(text.find("\"message\":\"written\"") != std::string::npos);
+  Log(kTargetDeparted, "written");
+  Log(kStopped, 0);
+  const auto lines = pipe.ReadUntil("stopped");
+  const auto count = [&](std::string_view aText) {
+    return std::ranges::count_if(lines, [&](const std::string& aLine) {
+      return aLine.find(aText) != std::string::npos;
+    });
+  };
+  BOOST_TEST(count("left-out") == 0);
+  BOOST_TEST(count("\"written\"") == 1);
+}
+
+/// The loop ends although nobody reads, and the dropped lines are reported.
+BOOST_AUTO_TEST_CASE(a_reader_that_stops_delays_nobody)
+{
+  LogPipe& pipe = ThePipe();
+  constexpr int kFlood = 20000;
+  for (int i = 0; i < kFlood; ++i) {
+    Log(kTargetDeparted, "flood");
+  }
+  const auto lines = pipe.ReadUntil("log_dropped");
+  BOOST_TEST(lines.size() < kFlood);
+  const auto dropped = boost::json::parse(lines.back()).as_object();
+  BOOST_TEST(dropped.at("lines").as_int64() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(text_lines_quote_what_needs_it)
+{
+  LogLine line(LogFormat::Text);
+  line.Add("a", "plain");
+  line.Add("b", "two words");
+  line.Add("c", Duration(1500us));
+  BOOST_TEST(std::move(line).Finish() == "a=plain b=\"two words\" c=1.500");
+}
+
+BOOST_AUTO_TEST_CASE(the_page_is_in_step_with_the_events)
+{
+  std::ifstream file(std::string(BAOBAB_SOURCE_DIR) + "/docs/LOGS.md");
+  std::ostringstream page;
+  page << file.rdbuf();
+  BOOST_TEST(page.str().find(LogReference()) != std::string::npos);
+}
+
+/// The reference lists its events by hand.
+BOOST_AUTO_TEST_CASE(the_reference_holds_every_event)
+{
+  std::ifstream file(std::string(BAOBAB_SOURCE_DIR) +
+                     "/include/baobab/net/log_events.hpp");
+  std::size_t declared = 0;
+  for (std::string line; std::getline(file, line);) {
+    declared += line.starts_with("inline constexpr LogEvent ") ? 1 : 0;
+  }
+  const std::string reference = LogReference();
+  std::size_t listed = 0;
+  for (auto place = reference.find("### "); place != std::string::npos;
+       place = reference.find("### ", place + 1)) {
+    ++listed;
+  }
+  BOOST_TEST(listed == declared);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/baobab/node/admin.cpp
+++ b/src/baobab/node/admin.cpp
@@ -1,6 +1,7 @@
 #include "baobab/node/admin.hpp"
 
 #include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 
 #include <array>
 #include <boost/json.hpp>
@@ -10,8 +11,6 @@
 
 namespace json = boost::json;
 
-constexpr std::string_view kChannel = "admin";
-
 constexpr std::size_t kLargestAnnouncement = 4096;
 
 Error
@@ -66,7 +65,7 @@
 {
   auto parsed = ParseAnnouncement(aRequest.body, aInstance);
   if (!Succeeded(parsed)) {
-    Log(kChannel, LogLevel::Warning, Describe(Failure(parsed)));
+    Log(kAnnouncementInvalid, Failure(parsed));
     return TextResponse(400, Describe(Failure(parsed)) + "\n");
   }
   aHooks.announce(Value(parsed));
--- /dev/null
+++ b/src/baobab/node/admission_log.cpp
@@ -0,0 +1,89 @@
+#include "baobab/node/admission_log.hpp"
+
+#include "baobab/net/clock.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
+
+namespace baobab {
+
+void
+LogQueued(const LoggedCall& aCall,
+          std::uint8_t aPriority,
+          const LoadReport& aLoad)
+{
+  Log(kCallQueued,
+      aCall.request,
+      aCall.id,
+      aPriority,
+      aCall.deadline - Now(),
+      aLoad.running,
+      aLoad.queued,
+      aLoad.slots,
+      aLoad.slowness);
+}
+
+void
+LogStarted(const LoggedCall& aCall, const LoadReport& aLoad)
+{
+  const TimePoint now = Now();
+  Log(kCallStarted,
+      aCall.request,
+      aCall.id,
+      now - aCall.arrived,
+      aCall.deadline - now,
+      aLoad.running,
+      aLoad.queued,
+      aLoad.slots,
+      aLoad.slowness);
+}
+
+void
+LogRefused(const LoggedCall& aCall,
+           const NotRun& aRefusal,
+           const LoadReport& aLoad)
+{
+  const TimePoint now = Now();
+  Log(kCallRefused,
+      aCall.request,
+      aCall.id,
+      Name(aRefusal.reason),
+      aRefusal.detail,
+      now - aCall.arrived,
+      aCall.deadline - now,
+      aLoad.running,
+      aLoad.queued,
+      aLoad.slots,
+      aLoad.slowness);
+}
+
+void
+LogFinished(const LoggedCall& aCall,
+            unsigned aStatus,
+            TimePoint aBegan,
+            double aSlowness)
+{
+  Log(kCallFinished,
+      aCall.request,
+      aCall.id,
+      aStatus,
+      aBegan - aCall.arrived,
+      Now() - aBegan,
+      aSlowness);
+}
+
+void
+LogLost(const LoggedCall& aCall,
+        UnknownCause aCause,
+        TimePoint aBegan,
+        double aSlowness)
+{
+  Log(kCallLost,
+      aCall.request,
+      aCall.id,
+      Describe(aCause),
+      aBegan - aCall.arrived,
+      Now() - aBegan,
+      aSlowness);
+}
+
+}
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -1,11 +1,13 @@
 #include "baobab/node/call_server.hpp"
 
-#include "baobab/core/random.hpp"
 #include "baobab/core/result.hpp"
 #include "baobab/net/clock.hpp"
 #include "baobab/net/http_server.hpp"
 #include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 #include "baobab/net/worker.hpp"
+#include "baobab/node/admission_log.hpp"
+#include "baobab/node/target_probe.hpp"
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
@@ -14,66 +16,6 @@
 namespace baobab {
 namespace {
 
-constexpr std::string_view kChannel = "admission";
-
-/// Bytes that a load report adds to a message, and of one on its own.
-constexpr std::int64_t kReportBytes = 12;
-constexpr std::int64_t kNewsBytes = 72;
-
-/// Time after its last call for which a sender is told news of the load.
-constexpr Duration kNewsInterest = 2s;
-
-/// Shortest time between two pieces of news on a connection.
-constexpr Duration kNewsPause = 20ms;
-
-/// Change of the load that is news on its own, as a part of the slots.
-constexpr int kNewsChange = 4;
-
-/// Change of the host's slowness that is news, in percent of itself.
-constexpr int kSlownessChange = 30;
-
-/// Time for which a report is not repeated while it is about true.
-constexpr Duration kReportPause = 100ms;
-
-/// Change of the load that is reported at once, as a part of the slots.
-constexpr int kReportedChange = 10;
-
-/// Time in which broken connections are taken for one crash.
-constexpr Duration kCrashWindow = 20ms;
-
-/// True if the host has turned notably slower or faster.
-bool
-SlownessChanged(const LoadReport& aBefore, const LoadReport& aReport)
-{
-  constexpr int kPercent = 100;
-  const int change = std::abs(aReport.slowness - aBefore.slowness);
-  return change * kPercent >
-         kSlownessChange * std::min(aReport.slowness, aBefore.slowness);
-}
-
-/// True if a change of the load is worth a message of its own.
-bool
-IsNews(const SenderConnection& aConnection, const LoadReport& aReport)
-{
-  const LoadReport& before = aConnection.reported;
-  const int change =
-    (aReport.running + aReport.queued) - (before.running + before.queued);
-  return SlownessChanged(before, aReport) ||
-         std::abs(change) * kNewsChange > aReport.slots;
-}
-
-/// True if the last report on a connection still says about the same.
-bool
-IsStillTrue(const SenderConnection& aConnection, const LoadReport& aReport)
-{
-  const LoadReport& before = aConnection.reported;
-  const int change =
-    (aReport.running + aReport.queued) - (before.running + before.queued);
-  return Now() - aConnection.reportedAt < kReportPause &&
-         aReport.slots == before.slots && !SlownessChanged(before, aReport) &&
-         std::abs(change) * kReportedChange <= aReport.slots;
-}
-
 AdmissionLimits
 LimitsOf(const ServiceSpec& aSpec, const Settings& aSettings)
 {
@@ -93,7 +35,13 @@
   , quarantine(aQuarantine)
   , lookup(std::move(aLookup))
   , settings(aSettings)
+  , crashes(aTarget, aQuarantine, [this] { return this->SuspicionLifetime(); })
 {
+  this->crashes.onSuspects = [this] {
+    if (this->onSuspects) {
+      this->onSuspects();
+    }
+  };
 }
 
 bool
@@ -130,7 +78,7 @@
 {
   const TimePoint deadline = Now() + aCall.remaining;
   this->lastCallAt = Now();
-  if (SenderConnection* sender = this->ConnectionOf(aCall.id)) {
+  if (SenderConnection* sender = ConnectionOf(this->senders, aCall.id)) {
     sender->lastCall = this->lastCallAt;
   }
   if (!this->ledger.Admit(aCall.id, aConnection.number, deadline)) {
@@ -142,39 +90,12 @@
 void
 CallServer::Decide(CallMessage aCall, TimePoint aDeadline)
 {
-  const CallId id = aCall.id;
-  if (this->leaving) {
-    this->Refuse(id, { RefusalReason::Leaving, "the daemon shuts down" });
-    return;
-  }
-  if (aCall.request.service != this->admission.Service()) {
-    this->Refuse(id,
-                 { RefusalReason::WrongService, "another service runs here" });
+  const TimePoint now = Now();
+  if (auto refusal = this->RefusalOf(aCall)) {
+    this->RefuseCall(aCall, std::move(*refusal), now, aDeadline);
     return;
   }
-  const auto route = this->lookup(aCall.request.service);
-  if (route && this->quarantine.Size() > 0) {
-    const Verdict verdict =
-      this->quarantine.Judge(FingerprintOf(aCall.request),
-                             route->service->spec.quarantine.threshold,
-                             Now());
-    if (verdict == Verdict::Refuse) {
-      this->Refuse(id,
-                   { RefusalReason::Quarantined,
-                     "requests like this one crash the targets" });
-      return;
-    }
-    if (verdict == Verdict::Isolate && this->AnotherSuspectRuns()) {
-      this->Refuse(id,
-                   { RefusalReason::Overloaded,
-                     "another request under suspicion is running" });
-      return;
-    }
-  }
-  if (route) {
-    this->admission.SetLimits(LimitsOf(route->service->spec, this->settings));
-  }
-  const TimePoint now = Now();
+  const CallId id = aCall.id;
   WaitTerms terms(aDeadline);
   terms.objective = now + aCall.objective;
   terms.priority = aCall.priority;
@@ -183,16 +104,57 @@
   const AdmissionAnswer answer = this->admission.Offer(id, terms, now);
   std::visit(
     Overloaded{
-      [&](const StartNow&) { this->Start(std::move(aCall), now, aDeadline); },
+      [&](const StartNow&) {
+        this->Start({ std::move(aCall), now, aDeadline });
+      },
       [&](const Queued&) {
+        if (aCall.traced) {
+          LogQueued(this->Logged(aCall, now, aDeadline),
+                    aCall.priority,
+                    this->admission.Report());
+        }
         this->waiting.emplace(id, Waiting{ std::move(aCall), now, aDeadline });
         this->SpreadLoad();
       },
-      [&](const NotRun& aRefusal) { this->Refuse(id, aRefusal); },
+      [&](const NotRun& aRefusal) {
+        this->RefuseCall(aCall, aRefusal, now, aDeadline);
+      },
     },
     answer);
 }
 
+/// Why a call may not even wait; nothing if it may.
+std::optional<NotRun>
+CallServer::RefusalOf(const CallMessage& aCall)
+{
+  if (this->leaving) {
+    return NotRun{ RefusalReason::Leaving, "the daemon shuts down" };
+  }
+  if (aCall.request.service != this->admission.Service()) {
+    return NotRun{ RefusalReason::WrongService, "another service runs here" };
+  }
+  const auto route = this->lookup(aCall.request.service);
+  if (!route) {
+    return std::nullopt;
+  }
+  const ServiceSpec& spec = route->service->spec;
+  this->admission.SetLimits(LimitsOf(spec, this->settings));
+  if (this->quarantine.Size() == 0) {
+    return std::nullopt;
+  }
+  const Verdict verdict = this->quarantine.Judge(
+    FingerprintOf(aCall.request), spec.quarantine.threshold, Now());
+  if (verdict == Verdict::Refuse) {
+    return NotRun{ RefusalReason::Quarantined,
+                   "requests like this one crash the targets" };
+  }
+  if (verdict == Verdict::Isolate && this->AnotherSuspectRuns()) {
+    return NotRun{ RefusalReason::Overloaded,
+                   "another request under suspicion is running" };
+  }
+  return std::nullopt;
+}
+
 void
 CallServer::OnAsk(const SenderConnection& aConnection, const AskMessage& aAsk)
 {
@@ -201,6 +163,7 @@
   std::visit(
     Overloaded{
       [&](const FateNotRun&) {
+        Log(kCallFenced, aAsk.id);
         if (this->admission.Withdraw(aAsk.id)) {
           this->waiting.erase(aAsk.id);
         }
@@ -228,8 +191,7 @@
 CallServer::OnCancel(const CancelMessage& aCancel)
 {
   if (this->admission.Withdraw(aCancel.id)) {
-    this->waiting.erase(aCancel.id);
-    this->Refuse(aCancel.id, { RefusalReason::Cancelled, "cancelled" });
+    this->RefuseWaiting(aCancel.id, { RefusalReason::Cancelled, "cancelled" });
     return;
   }
   const auto found = this->running.find(aCancel.id);
@@ -243,20 +205,16 @@
 {
   const TargetState before = this->admission.State();
   if (!this->targets.Accept(aAnnouncement)) {
-    Log(kChannel,
-        LogLevel::Debug,
-        "outdated announcement",
-        { { "instance", aAnnouncement.instance } });
+    Log(kAnnouncementOutdated, aAnnouncement.instance, aAnnouncement.sequence);
     return;
   }
   this->target.SetTarget(aAnnouncement.address, aAnnouncement.instance);
   this->Settle(this->admission.Announce(aAnnouncement.announcement, Now()));
   if (this->admission.State() != before) {
-    Log(kChannel,
-        LogLevel::Info,
-        "target state",
-        { { "instance", aAnnouncement.instance },
-          { "state", std::string(Name(this->admission.State())) } });
+    Log(kTargetState,
+        aAnnouncement.instance,
+        Name(this->admission.State()),
+        aAnnouncement.announcement.slots);
   }
 }
 
@@ -269,10 +227,7 @@
   Announcement gone = this->targets.Current().announcement;
   gone.state = TargetState::Leaving;
   this->Settle(this->admission.Announce(gone, Now()));
-  Log(kChannel,
-      LogLevel::Info,
-      "target is gone",
-      { { "instance", std::string(aInstance) } });
+  Log(kTargetDeparted, aInstance);
 }
 
 void
@@ -280,25 +235,17 @@
                      const Endpoint& aAddress,
                      std::string_view aHealthPath)
 {
-  const HeaderNames& names = this->settings.headers;
   this->target.SetTarget(aAddress, "");
-  const auto health =
-    this->target.AskHealth(aHealthPath, this->settings.timeouts.connect);
-  constexpr unsigned kOk = 200;
-  const bool unannounced = this->admission.State() == TargetState::None;
-  if (!unannounced || !Succeeded(health) || Value(health).status != kOk) {
+  const auto probed = ProbeTarget(this->target, aHealthPath, this->settings);
+  if (!probed || this->admission.State() != TargetState::None) {
     return;
   }
-  const auto load = ParseLoad(FindHeader(Value(health).headers, names.load));
   TargetAnnouncement found;
-  found.instance = FindHeader(Value(health).headers, names.instance);
-  if (!load || load->slots == 0 || found.instance.empty()) {
-    return;
-  }
+  found.instance = probed->instance;
+  found.address = aAddress;
   found.announcement = { std::string(aService),
-                         load->slots,
+                         probed->load.slots,
                          TargetState::Ready };
-  found.address = aAddress;
   this->Announce(found);
 }
 
@@ -320,8 +267,8 @@
                          [](const auto& aItem) { return aItem.first; });
   for (const CallId& id : ids) {
     this->admission.Withdraw(id);
-    this->waiting.erase(id);
-    this->Refuse(id, { RefusalReason::Leaving, "the daemon shuts down" });
+    this->RefuseWaiting(
+      id, { RefusalReason::Leaving, "the daemon shuts down" });
   }
 }
 
@@ -341,46 +288,73 @@
 CallServer::Settle(const std::vector<Dequeued>& aDequeued)
 {
   for (const Dequeued& dequeued : aDequeued) {
-    const auto found = this->waiting.find(dequeued.id);
-    if (found == this->waiting.end()) {
-      continue;
-    }
-    Waiting waiting = std::move(found->second);
-    this->waiting.erase(found);
     if (const auto* refusal = std::get_if<NotRun>(&dequeued.answer)) {
-      this->Refuse(dequeued.id, *refusal);
-    } else {
-      this->Start(std::move(waiting.call), waiting.arrived, waiting.deadline);
+      this->RefuseWaiting(dequeued.id, *refusal);
+    } else if (auto found = this->waiting.extract(dequeued.id)) {
+      this->Start(std::move(found.mapped()));
     }
   }
 }
 
+/// Refuses a call that has left the queue.
+void
+CallServer::RefuseWaiting(const CallId& aId, NotRun aRefusal)
+{
+  if (const auto found = this->waiting.extract(aId)) {
+    const Waiting& waiting = found.mapped();
+    this->RefuseCall(
+      waiting.call, std::move(aRefusal), waiting.arrived, waiting.deadline);
+  }
+}
+
+/// Refuses a call and logs what decided it.
+void
+CallServer::RefuseCall(const CallMessage& aCall,
+                       NotRun aRefusal,
+                       TimePoint aArrived,
+                       TimePoint aDeadline)
+{
+  LogRefused(this->Logged(aCall, aArrived, aDeadline),
+             aRefusal,
+             this->admission.Report());
+  this->Refuse(aCall.id, std::move(aRefusal));
+}
+
 void
 CallServer::Refuse(const CallId& aId, NotRun aRefusal)
 {
   this->ledger.Refuse(aId);
-  if (SenderConnection* connection = this->ConnectionOf(aId)) {
+  if (SenderConnection* connection = ConnectionOf(this->senders, aId)) {
     connection->frames->Send(
-      RefusalMessage{ aId, std::move(aRefusal), this->ChargedReport(aId) });
+      RefusalMessage{ aId, std::move(aRefusal), this->ReportFor(aId) });
   }
 }
 
 void
-CallServer::Start(CallMessage aCall, TimePoint aArrived, TimePoint aDeadline)
+CallServer::Start(Waiting aWaiting)
 {
-  if (!this->ledger.Start(aCall.id)) {
+  const CallId id = aWaiting.call.id;
+  if (!this->ledger.Start(id)) {
     this->Settle(this->admission.Abandon(Now()));
     return;
   }
   // The entry stands before the fiber runs, so that a cancel that follows the
   // call at once finds it.
   constexpr double kPercent = 100;
-  Running& running = this->running.try_emplace(aCall.id).first->second;
-  running.arrived = aArrived;
+  Running& running = this->running.try_emplace(id).first->second;
+  running.arrived = aWaiting.arrived;
+  running.began = Now();
+  running.deadline = aWaiting.deadline;
+  running.objective = aWaiting.arrived + aWaiting.call.objective;
   running.slowness = this->admission.Report().slowness / kPercent;
+  if (aWaiting.call.traced) {
+    LogStarted(
+      this->Logged(aWaiting.call, aWaiting.arrived, aWaiting.deadline),
+      this->admission.Report());
+  }
   this->SpreadLoad();
-  Spawn([this, call = std::move(aCall), aDeadline] {
-    this->RunCall(call, aDeadline);
+  Spawn([this, call = std::move(aWaiting.call), deadline = aWaiting.deadline] {
+    this->RunCall(call, deadline);
   });
 }
 
@@ -396,7 +370,6 @@
     this->quarantine.Size() > 0 &&
     this->quarantine.Judge(fingerprint, spec.quarantine.threshold, Now()) !=
       Verdict::Allow;
-  const TimePoint began = Now();
   TargetResult result =
     this->target.Run({ aCall.id,
                        aCall.request,
@@ -404,26 +377,23 @@
                        aDeadline,
                        static_cast<std::size_t>(spec.limits.answerBytes) },
                      state.control);
-  const bool cancelled = state.control.cancelled;
-  const TimePoint ended = Now();
-  const auto work =
-    std::chrono::duration_cast<Micros>((ended - began) / state.slowness);
-  const auto held = std::chrono::duration_cast<Micros>(ended - state.arrived);
-  if (result.broken && !cancelled) {
+  const Running ended = state;
+  this->running.erase(aCall.id);
+  if (result.broken && !ended.control.cancelled) {
     this->NoteBroken(fingerprint);
   }
-  this->running.erase(aCall.id);
   if (result.load) {
     this->TakeLoad(*result.load);
   }
+  const TimePoint now = Now();
   this->Settle(std::holds_alternative<NotRun>(result.outcome)
-                 ? this->admission.Abandon(Now())
-                 : this->admission.Finish(Now() - began, Now()));
+                 ? this->admission.Abandon(now)
+                 : this->admission.Finish(now - ended.began, now));
   if (std::holds_alternative<Answered>(result.outcome) &&
       this->quarantine.Size() > 0) {
-    this->quarantine.Completed(fingerprint, Now());
+    this->quarantine.Completed(fingerprint, now);
   }
-  this->Conclude(aCall, std::move(result), work, held);
+  this->Conclude(aCall, std::move(result), ended);
   this->SpreadLoad();
 }
 
@@ -434,22 +404,11 @@
   this->Settle(this->admission.SetSlowness(aLoad.slowness, Now()));
 }
 
-/// Tells senders of a change that matters to their choices.
 void
 CallServer::SpreadLoad()
 {
-  const LoadReport report = this->admission.Report();
-  const TimePoint now = Now();
-  for (auto& [sender, connection] : this->senders) {
-    const bool due = now - connection.lastCall < kNewsInterest &&
-                     now - connection.reportedAt >= kNewsPause;
-    if (!due || !IsNews(connection, report) ||
-        !this->Charge(connection, kNewsBytes)) {
-      continue;
-    }
-    connection.reported = report;
-    connection.reportedAt = now;
-    connection.frames->Send(LoadNewsMessage{ report });
+  if (const auto route = this->lookup(this->admission.Service())) {
+    this->reporter.Spread(this->admission.Report(), *route->state);
   }
 }
 
@@ -473,13 +432,8 @@
     if (!route || route->service->spec.healthPath.empty()) {
       continue;
     }
-    const auto health = this->target.AskHealth(route->service->spec.healthPath,
-                                               this->settings.timeouts.connect);
-    if (!Succeeded(health)) {
-      continue;
-    }
-    const auto load =
-      ParseLoad(FindHeader(Value(health).headers, this->settings.headers.load));
+    const auto load = ProbeLoad(
+      this->target, route->service->spec.healthPath, this->settings);
     if (load) {
       this->TakeLoad(*load);
       this->SpreadLoad();
@@ -490,41 +444,71 @@
 void
 CallServer::Conclude(const CallMessage& aCall,
                      TargetResult aResult,
-                     Micros aWork,
-                     Micros aHeld)
+                     const Running& aRun)
 {
-  const CallId& id = aCall.id;
-  SenderConnection* connection = this->ConnectionOf(id);
   std::visit(Overloaded{
                [&](Answered& aAnswered) {
-                 if (connection == nullptr) {
-                   this->ledger.Finish(id, std::move(aAnswered.response));
-                   return;
-                 }
-                 AnswerMessage message{ id,
-                                        std::move(aAnswered.response),
-                                        this->ChargedReport(id),
-                                        aWork,
-                                        aHeld };
-                 connection->frames->Send(message);
-                 this->ledger.Finish(id, std::move(message.response));
+                 this->Answer(aCall, std::move(aAnswered.response), aRun);
+               },
+               [&](NotRun& aRefusal) {
+                 this->RefuseCall(
+                   aCall, std::move(aRefusal), aRun.arrived, aRun.deadline);
                },
-               [&](NotRun& aRefusal) { this->Refuse(id, std::move(aRefusal)); },
                [&](OutcomeUnknown& aUnknown) {
-                 Log(kChannel,
-                     LogLevel::Info,
-                     "call lost at the target",
-                     { { "call", ToString(id) },
-                       { "why", std::string(Describe(aUnknown.cause)) } });
-                 this->ledger.Lose(id);
-                 if (connection != nullptr) {
-                   connection->frames->Send(LostMessage{ id });
-                 }
+                 this->Lose(aCall, aUnknown.cause, aRun);
                },
              },
              aResult.outcome);
 }
 
+/// Hands the target's answer to the sender of the call. It is kept until the
+/// sender has it.
+void
+CallServer::Answer(const CallMessage& aCall,
+                   Response aResponse,
+                   const Running& aRun)
+{
+  const CallId& id = aCall.id;
+  const TimePoint now = Now();
+  const Duration ran = now - aRun.began;
+  if (aCall.traced || now > aRun.objective) {
+    LogFinished(this->Logged(aCall, aRun.arrived, aRun.deadline),
+                aResponse.status,
+                aRun.began,
+                aRun.slowness);
+  }
+  SenderConnection* connection = ConnectionOf(this->senders, id);
+  if (connection == nullptr) {
+    this->ledger.Finish(id, std::move(aResponse));
+    return;
+  }
+  AnswerMessage message{
+    id,
+    std::move(aResponse),
+    this->ReportFor(id),
+    std::chrono::duration_cast<Micros>(ran / aRun.slowness),
+    std::chrono::duration_cast<Micros>(now - aRun.arrived)
+  };
+  connection->frames->Send(message);
+  this->ledger.Finish(id, std::move(message.response));
+}
+
+/// Tells the sender of a call that its outcome is unknown.
+void
+CallServer::Lose(const CallMessage& aCall,
+                 UnknownCause aCause,
+                 const Running& aRun)
+{
+  LogLost(this->Logged(aCall, aRun.arrived, aRun.deadline),
+          aCause,
+          aRun.began,
+          aRun.slowness);
+  this->ledger.Lose(aCall.id);
+  if (SenderConnection* connection = ConnectionOf(this->senders, aCall.id)) {
+    connection->frames->Send(LostMessage{ aCall.id });
+  }
+}
+
 bool
 CallServer::AnotherSuspectRuns() const
 {
@@ -535,81 +519,47 @@
 void
 CallServer::NoteBroken(Fingerprint aFingerprint)
 {
-  this->broken.push_back(aFingerprint);
-  if (this->broken.size() == 1) {
-    std::vector<CallId> together;
-    std::ranges::transform(this->running,
-                           std::back_inserter(together),
-                           [](const auto& aItem) { return aItem.first; });
-    Spawn([this, together = std::move(together)] {
-      this->CheckForCrash(together);
+  std::vector<CallId> together;
+  std::ranges::transform(this->running,
+                         std::back_inserter(together),
+                         [](const auto& aItem) { return aItem.first; });
+  this->crashes.NoteBroken(
+    aFingerprint, std::move(together), [this](const CallId& aId) {
+      return this->running.contains(aId);
     });
-  }
 }
 
-void
-CallServer::CheckForCrash(const std::vector<CallId>& aTogether)
-{
-  boost::this_fiber::sleep_for(kCrashWindow);
-  const std::vector<Fingerprint> suspects = std::move(this->broken);
-  this->broken.clear();
-  // A target that was restarted at once listens already; it has crashed if
-  // none of the calls that ran together goes on.
-  const bool goesOn = std::ranges::any_of(aTogether, [this](const CallId& aId) {
-    return this->running.contains(aId);
-  });
-  if (goesOn && this->target.IsListening()) {
-    return;
-  }
+Duration
+CallServer::SuspicionLifetime() const
+{
   const auto route = this->lookup(this->admission.Service());
-  const Duration lifetime =
-    route ? Duration(route->service->spec.quarantine.lifetime)
-          : Duration(QuarantineSpec{}.lifetime);
-  this->quarantine.Crashed(EntropySeed(), suspects, lifetime, Now());
-  Log(kChannel,
-      LogLevel::Warning,
-      "the target crashed",
-      { { "running", std::to_string(suspects.size()) } });
-  if (this->onSuspects) {
-    this->onSuspects();
-  }
+  return route ? route->service->spec.quarantine.lifetime
+               : QuarantineSpec{}.lifetime;
 }
 
+/// Load report that travels with a message about a call.
 std::optional<LoadReport>
-CallServer::ChargedReport(const CallId& aId)
-{
-  SenderConnection* connection = this->ConnectionOf(aId);
-  const LoadReport report = this->admission.Report();
-  if (connection == nullptr || IsStillTrue(*connection, report) ||
-      !this->Charge(*connection, kReportBytes)) {
-    return std::nullopt;
-  }
-  connection->reported = report;
-  connection->reportedAt = Now();
-  return report;
-}
-
-/// Charges a report to the service's measuring budgets.
-bool
-CallServer::Charge(const SenderConnection& aConnection, std::int64_t aBytes)
+CallServer::ReportFor(const CallId& aId)
 {
+  SenderConnection* connection = ConnectionOf(this->senders, aId);
   const auto route = this->lookup(this->admission.Service());
-  if (!route) {
-    return false;
-  }
-  ServiceState& state = *route->state;
-  const bool crosses = aConnection.across;
-  if (crosses && !state.measuringAcross.Charge(aBytes, Now())) {
-    return false;
+  if (connection == nullptr || !route) {
+    return std::nullopt;
   }
-  return state.measuring.Charge(aBytes, Now());
+  return this->reporter.Accompany(
+    *connection, this->admission.Report(), *route->state);
 }
 
-SenderConnection*
-CallServer::ConnectionOf(const CallId& aId)
+LoggedCall
+CallServer::Logged(const CallMessage& aCall,
+                   TimePoint aArrived,
+                   TimePoint aDeadline) const
 {
-  const auto found = this->senders.find(aId.sender);
-  return found == this->senders.end() ? nullptr : &found->second;
+  const std::string& header = this->settings.headers.requestId;
+  return { FindHeader(aCall.request.headers, header),
+           aCall.id,
+           aArrived,
+           aDeadline };
 }
 
 }
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -3,6 +3,7 @@
 #include "baobab/decision/rendezvous.hpp"
 #include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 #include "baobab/net/timeout.hpp"
 #include "baobab/net/worker.hpp"
 
@@ -12,7 +13,6 @@
 namespace baobab {
 namespace {
 
-constexpr std::string_view kChannel = "config";
 constexpr std::string_view kReaderRole = "config-reader";
 
 constexpr Duration kWatchTime = 20s;
@@ -25,8 +25,8 @@
 /// Mean time between reads of a daemon that is no reader and hears peers.
 constexpr Duration kAuditTime = 300s;
 
-/// Time for a peer to answer; another one is asked after it.
-constexpr Duration kPullTime = 600ms;
+/// Time for a peer to answer. Others may be asked meanwhile.
+constexpr Duration kPullTime = 2s;
 
 /// Bytes of a reply besides the files.
 constexpr std::size_t kReplyOverhead = 128;
@@ -78,11 +78,10 @@
 ConfigAgent::Hear(const Endpoint& aPeer, std::uint64_t aGeneration)
 {
   this->heardAt = Now();
-  if (aGeneration > this->Generation() && !this->pulling) {
-    this->pulling = true;
+  if (this->pulls.OnHeard(aGeneration, this->Generation(), Now())) {
     Spawn([this, aPeer] {
       this->Pull(aPeer);
-      this->pulling = false;
+      this->pulls.OnEnded();
     });
   }
 }
@@ -102,7 +101,7 @@
   };
   const std::uint64_t since = aRequest.generation;
   Spawn([this, aFrames, since, size] {
-    this->pacer.Spend(size(this->publisher.Current()->Since(since)));
+    this->pacer.SpendOnConfiguration(size(this->publisher.Current()->Since(since)));
     // Made after the wait, so that it holds what came into force meanwhile.
     aFrames->Send(
       ConfigReplyMessage{ this->publisher.Current()->Since(since) });
@@ -147,22 +146,31 @@
 void
 ConfigAgent::Take(const Result<std::optional<ConfigDelta>>& aRead)
 {
-  if (!Succeeded(aRead)) {
-    Log(kChannel, LogLevel::Warning, Describe(Failure(aRead)));
-  } else if (Value(aRead)) {
+  this->NoteStore(aRead);
+  if (Succeeded(aRead) && Value(aRead)) {
     this->Adopt(*Value(aRead), "store");
   }
 }
 
+/// Logs when the store is lost and when it answers again.
+void
+ConfigAgent::NoteStore(const Result<std::optional<ConfigDelta>>& aRead)
+{
+  if (!Succeeded(aRead) && !this->storeLostAt) {
+    this->storeLostAt = Now();
+    Log(kStoreLost, Failure(aRead));
+  } else if (Succeeded(aRead) && this->storeLostAt) {
+    Log(kStoreRegained, Now() - *this->storeLostAt);
+    this->storeLostAt.reset();
+  }
+}
+
 void
 ConfigAgent::Pull(const Endpoint& aPeer)
 {
   auto delta = this->Request(aPeer, this->Generation());
   if (!Succeeded(delta)) {
-    Log(kChannel,
-        LogLevel::Debug,
-        "pull failed",
-        { { "peer", ToString(aPeer) }, { "error", Describe(Failure(delta)) } });
+    Log(kPullFailed, aPeer, Failure(delta));
     return;
   }
   const auto adopted = this->Adopt(Value(delta), "peer");
@@ -207,18 +215,14 @@
   auto next = this->publisher.Current()->Apply(aDelta);
   if (!Succeeded(next)) {
     const bool stale = Failure(next).kind == ErrorKind::Conflict;
-    Log(kChannel,
-        stale ? LogLevel::Debug : LogLevel::Error,
-        "generation refused: " + Describe(Failure(next)));
+    if (!stale) {
+      Log(kConfigurationRejected, aSource, Failure(next));
+    }
     return Failure(next);
   }
   this->publisher.SetConfiguration(
     std::make_shared<const Configuration>(std::move(Value(next))));
-  Log(kChannel,
-      LogLevel::Info,
-      "generation in force",
-      { { "generation", std::to_string(this->Generation()) },
-        { "source", std::string(aSource) } });
+  Log(kConfigurationAdopted, this->Generation(), aSource);
   if (this->onAdopted) {
     this->onAdopted(this->Generation());
   }
--- a/src/baobab/node/control_pacer.cpp
+++ b/src/baobab/node/control_pacer.cpp
@@ -12,6 +12,15 @@
 /// Part of a second's bytes that is charged at once at most, as a divisor.
 constexpr std::int64_t kPiecePart = 16;
 
+/// Time for which unused bytes for configurations are saved.
+constexpr Duration kSavedTime = 60s;
+
+}
+
+ControlPacer::ControlPacer(std::int64_t aBytesPerSecond)
+  : budget(aBytesPerSecond)
+  , configuration(aBytesPerSecond, kSavedTime, Now())
+{
 }
 
 bool
@@ -36,4 +45,14 @@
   }
 }
 
+void
+ControlPacer::SpendOnConfiguration(std::size_t aBytes)
+{
+  const auto bytes = static_cast<std::int64_t>(aBytes);
+  while (!this->configuration.Charge(bytes, Now())) {
+    boost::this_fiber::sleep_for(kPause);
+  }
+  this->configurationSpent += bytes;
+}
+
 }
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 #include "baobab/net/manifest_source.hpp"
 #include "baobab/net/worker.hpp"
 #include "baobab/node/admin.hpp"
@@ -22,8 +23,6 @@
 namespace baobab {
 namespace {
 
-constexpr std::string_view kChannel = "daemon";
-
 constexpr Duration kTickPeriod = 10ms;
 constexpr Duration kRefreshPeriod = 50ms;
 constexpr Duration kDrainCheck = 20ms;
@@ -223,12 +222,12 @@
     Spawn([this] { this->FindTarget(); });
     Spawn([this] { this->calls.RunLoadProbes(); });
     this->ingress.Start();
-    Log(kChannel,
-        LogLevel::Info,
-        "started",
-        { { "callers", ToString(this->settings.callers) },
-          { "peers", ToString(this->settings.peers) },
-          { "zone", this->settings.locality.zone } });
+    Log(kStarted,
+        std::string_view(BAOBAB_VERSION),
+        this->settings.callers,
+        this->settings.peers,
+        this->settings.locality.region,
+        this->settings.locality.zone);
   }
 
   void RunTimers()
@@ -253,11 +252,7 @@
       (!this->settings.service.empty() &&
        this->settings.service != aTarget.announcement.service);
     if (foreign) {
-      Log(kChannel,
-          LogLevel::Warning,
-          "announcement of another target",
-          { { "address", ToString(aTarget.address) },
-            { "service", aTarget.announcement.service } });
+      Log(kAnnouncementForeign, aTarget.address, aTarget.announcement.service);
       return;
     }
     this->calls.Announce(aTarget);
@@ -305,11 +300,11 @@
   {
     const auto next = this->reload();
     if (!Succeeded(next)) {
-      Log(kChannel, LogLevel::Error, Describe(Failure(next)));
+      Log(kSettingsRejected, Failure(next));
       return;
     }
     SetLogLevel(Value(next).logLevel);
-    Log(kChannel, LogLevel::Info, "settings read again");
+    Log(kSettingsApplied, "log.level", "");
   }
 
   /// Tells other daemons about the local target when its state changes.
@@ -431,7 +426,7 @@
       return;
     }
     this->draining = true;
-    Log(kChannel, LogLevel::Info, "draining");
+    Log(kDraining, this->calls.InFlight());
     this->calls.StartLeaving();
     this->SpreadTargetState();
     const TimePoint end = Now() + this->settings.timeouts.drain;
@@ -451,7 +446,7 @@
     waitUntil(end);
     boost::this_fiber::sleep_for(kDrainCheck);
     this->gossip.Send(this->membership.Leave());
-    Log(kChannel, LogLevel::Info, "stopped");
+    Log(kStopped, this->calls.InFlight());
     this->control.Stop();
   }
 
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -3,6 +3,7 @@
 #include "baobab/decision/rendezvous.hpp"
 #include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 #include "baobab/net/manifest_json.hpp"
 #include "baobab/net/worker.hpp"
 #include "baobab/wire/gossip_codec.hpp"
@@ -248,9 +249,7 @@
 {
   const auto lists = this->store->ReadAll(kSeedPrefix);
   if (!Succeeded(lists)) {
-    Log(kChannel,
-        LogLevel::Warning,
-        "no first peers: " + Describe(Failure(lists)));
+    Log(kPeersMissing, Failure(lists));
     return;
   }
   for (const StoredObject& list : Value(lists)) {
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -3,6 +3,7 @@
 #include "baobab/core/result.hpp"
 #include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 #include "baobab/net/worker.hpp"
 
 #include <algorithm>
@@ -11,8 +12,6 @@
 namespace baobab {
 namespace {
 
-constexpr std::string_view kChannel = "link";
-
 /// Pause before a connection is tried again.
 constexpr Duration kReconnectPause = 50ms;
 
@@ -71,7 +70,7 @@
   }
   this->pending.erase(id.sequence);
   return {
-    *pending.attempt.Result(), pending.load, pending.work, pending.held
+    id, *pending.attempt.Result(), pending.load, pending.work, pending.held
   };
 }
 
@@ -116,7 +115,8 @@
         aPending.terms.priority,
         std::chrono::duration_cast<Micros>(aPending.terms.objective - Now()),
         std::chrono::duration_cast<Micros>(aPending.terms.work),
-        std::chrono::duration_cast<Micros>(aPending.terms.alternative) });
+        std::chrono::duration_cast<Micros>(aPending.terms.alternative),
+        aPending.terms.traced });
       break;
     case AttemptAction::SendAsk:
       this->connection->Send(AskMessage{ attempt.Id(), attempt.SentOn() });
@@ -136,6 +136,10 @@
   while (!this->pending.empty()) {
     if (this->Connect() && this->ShakeHands()) {
       this->ReadUntilLost();
+      if (!this->pending.empty()) {
+        Log(kLinkLost, this->endpoint, this->pending.size(), this->silent);
+      }
+      this->silent = false;
       this->ForEachPending(
         [](CallAttempt& aAttempt) { return aAttempt.OnConnectionLost(); });
       continue;
@@ -155,11 +159,10 @@
                                 this->timeouts.connect,
                                 this->identity.localAddress);
   if (!Succeeded(socket)) {
-    Log(kChannel,
-        LogLevel::Debug,
-        "connect failed",
-        { { "peer", ToString(this->endpoint) },
-          { "error", Failure(socket).message } });
+    Log(kLinkConnectFailed,
+        this->endpoint,
+        this->pending.size(),
+        Failure(socket));
     return false;
   }
   this->connection =
@@ -253,10 +256,7 @@
   while (aConnection->IsOpen()) {
     boost::this_fiber::sleep_for(this->timeouts.heartbeat);
     if (Now() - aConnection->UnansweredSince() > this->timeouts.silence) {
-      Log(kChannel,
-          LogLevel::Info,
-          "link is silent",
-          { { "peer", ToString(this->endpoint) } });
+      this->silent = true;
       aConnection->Close();
       return;
     }
--- a/src/baobab/node/peer_server.cpp
+++ b/src/baobab/node/peer_server.cpp
@@ -3,14 +3,10 @@
 #include "baobab/core/result.hpp"
 #include "baobab/net/accept.hpp"
 #include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 #include "baobab/net/worker.hpp"
 
 namespace baobab {
-namespace {
-
-constexpr std::string_view kChannel = "peers";
-
-}
 
 void
 PeerServer::Serve(Tcp::acceptor& aAcceptor)
@@ -30,7 +26,7 @@
     auto message = aFrames->Read();
     if (!Succeeded(message)) {
       if (Failure(message).kind != ErrorKind::ConnectionLost) {
-        Log(kChannel, LogLevel::Warning, Describe(Failure(message)));
+        Log(kPeerMessageInvalid, Failure(message));
       }
       break;
     }
--- /dev/null
+++ b/src/baobab/node/route_index.cpp
@@ -0,0 +1,92 @@
+#include "baobab/node/route_index.hpp"
+
+#include <cctype>
+#include <ranges>
+
+namespace baobab {
+namespace {
+
+std::string
+Lower(std::string_view aText)
+{
+  std::string lower(aText);
+  std::ranges::transform(lower, lower.begin(), ::tolower);
+  return lower;
+}
+
+/// Key under which routes without a host stand.
+const std::string kAnyHost;
+
+}
+
+RouteIndex::RouteIndex(const Configuration& aConfiguration,
+                       LearnedRoutes& aLearned)
+{
+  LearnedRoutes kept;
+  const auto inForce = [](const auto& aService) {
+    return !aService->spec.retired;
+  };
+  for (const auto& owner :
+       aConfiguration.Services() | std::views::filter(inForce)) {
+    for (RouteSpec& spec : RoutesOf(owner->spec)) {
+      const std::string key = spec.host + spec.pathPrefix;
+      auto& state = kept[key];
+      if (const auto known = aLearned.find(key); known != aLearned.end()) {
+        state = known->second;
+      }
+      if (!state) {
+        state = std::make_shared<RouteState>();
+      }
+      this->Add(std::make_shared<Route>(Route{ std::move(spec), owner, state }));
+    }
+  }
+  for (auto& [host, routes] : this->byHost) {
+    std::ranges::sort(routes.lengths, std::ranges::greater{});
+  }
+  aLearned = std::move(kept);
+}
+
+std::shared_ptr<const Route>
+RouteIndex::Find(std::string_view aHost, std::string_view aTarget) const
+{
+  for (const std::string& host : { Lower(aHost), kAnyHost }) {
+    const auto named = this->byHost.find(host);
+    if (named == this->byHost.end()) {
+      continue;
+    }
+    if (auto route = LongestPrefix(named->second, aTarget)) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+std::shared_ptr<const Route>
+RouteIndex::LongestPrefix(const HostRoutes& aRoutes, std::string_view aTarget)
+{
+  for (const std::size_t length : aRoutes.lengths) {
+    if (length > aTarget.size()) {
+      continue;
+    }
+    const auto found = aRoutes.byPrefix.find(aTarget.substr(0, length));
+    if (found != aRoutes.byPrefix.end()) {
+      return found->second;
+    }
+  }
+  return nullptr;
+}
+
+void
+RouteIndex::Add(std::shared_ptr<const Route> aRoute)
+{
+  HostRoutes& routes = this->byHost[Lower(aRoute->spec.host)];
+  const std::string_view prefix = aRoute->spec.pathPrefix;
+  if (std::ranges::find(routes.lengths, prefix.size()) ==
+      routes.lengths.end()) {
+    routes.lengths.push_back(prefix.size());
+  }
+  // Of two files that declare the same route, the first one counts.
+  routes.byPrefix.try_emplace(prefix, std::move(aRoute));
+}
+
+}
--- a/src/baobab/node/route_publisher.cpp
+++ b/src/baobab/node/route_publisher.cpp
@@ -23,6 +23,7 @@
   std::shared_ptr<const Configuration> aConfiguration)
 {
   this->configuration = std::move(aConfiguration);
+  this->builder.SetConfiguration(this->configuration);
   this->changed = true;
   this->Refresh(Now());
 }
@@ -44,8 +45,7 @@
       this->builder.Update(*member);
     }
   }
-  auto table =
-    this->builder.Build(*this->configuration, this->quarantine.Suspects(aNow));
+  auto table = this->builder.Build(this->quarantine.Suspects(aNow));
   this->DivideBudgets(*table, aNow);
   this->routes.Replace(std::move(table));
 }
--- a/src/baobab/node/route_table.cpp
+++ b/src/baobab/node/route_table.cpp
@@ -1,43 +1,11 @@
 #include "baobab/node/route_table.hpp"
 
 #include <algorithm>
-#include <cctype>
 #include <ranges>
 
 namespace baobab {
 namespace {
 
-std::string
-Lower(std::string_view aText)
-{
-  std::string lower(aText);
-  std::ranges::transform(lower, lower.begin(), ::tolower);
-  return lower;
-}
-
-using Routes = std::vector<std::shared_ptr<const Route>>;
-
-std::shared_ptr<const Route>
-LongestPrefix(const Routes& aRoutes, std::string_view aTarget)
-{
-  const auto found = std::ranges::find_if(aRoutes, [&](const auto& aRoute) {
-    return aTarget.starts_with(aRoute->spec.pathPrefix);
-  });
-  return found == aRoutes.end() ? nullptr : *found;
-}
-
-void
-SortByPrefix(Routes& aRoutes)
-{
-  std::ranges::stable_sort(
-    aRoutes, std::ranges::greater{}, [](const auto& aRoute) {
-      return aRoute->spec.pathPrefix.size();
-    });
-}
-
-/// Key under which routes without a host stand.
-const std::string kAnyHost;
-
 /// Takes over the tighter of two limits.
 void
 Tighten(CallerLimits& aLimits, const CallerLimits& aOther)
@@ -59,21 +27,6 @@
 
 }
 
-std::shared_ptr<const Route>
-RouteTable::Find(std::string_view aHost, std::string_view aTarget) const
-{
-  for (const std::string& host : { Lower(aHost), kAnyHost }) {
-    const auto named = this->byHost.find(host);
-    if (named == this->byHost.end()) {
-      continue;
-    }
-    if (auto route = LongestPrefix(named->second, aTarget)) {
-      return route;
-    }
-  }
-  return nullptr;
-}
-
 std::shared_ptr<const ServiceRoute>
 RouteTable::Find(std::string_view aService) const
 {
@@ -145,56 +98,34 @@
   }
 }
 
+void
+RouteBuilder::SetConfiguration(
+  std::shared_ptr<const Configuration> aConfiguration)
+{
+  this->configuration = std::move(aConfiguration);
+  this->index =
+    std::make_shared<const RouteIndex>(*this->configuration, this->learned);
+}
+
 std::unique_ptr<RouteTable>
-RouteBuilder::Build(const Configuration& aConfiguration,
-                    std::vector<std::uint64_t> aSuspects)
+RouteBuilder::Build(std::vector<std::uint64_t> aSuspects)
 {
   auto table = std::make_unique<RouteTable>();
   std::ranges::sort(aSuspects);
   table->suspects = std::move(aSuspects);
-  table->generation = aConfiguration.Generation();
+  table->generation = this->configuration->Generation();
+  table->index = this->index;
   const auto inForce = [](const auto& aService) {
     return !aService->spec.retired;
   };
   for (const auto& configured :
-       aConfiguration.Services() | std::views::filter(inForce)) {
+       this->configuration->Services() | std::views::filter(inForce)) {
     table->routes.push_back(this->RouteOf(configured));
     Tighten(table->callers, configured->spec.callers);
   }
-  for (const auto& configured :
-       aConfiguration.Services() | std::views::filter(inForce)) {
-    this->AddRoutes(*table, configured);
-  }
-  for (auto& [host, routes] : table->byHost) {
-    SortByPrefix(routes);
-  }
   return table;
 }
 
-void
-RouteBuilder::AddRoutes(RouteTable& aTable,
-                        const std::shared_ptr<const ConfiguredService>& aOwner)
-{
-  for (RouteSpec& spec : RoutesOf(aOwner->spec)) {
-    auto route = std::make_shared<Route>();
-    std::ranges::transform(
-      spec.parts,
-      std::back_inserter(route->shares),
-      [&](const RoutePart& aPart) {
-        return RouteShare{ aPart.weight, aTable.Find(aPart.service) };
-      });
-    auto& state = this->learned[spec.host + spec.pathPrefix];
-    if (!state) {
-      state = std::make_shared<RouteState>();
-    }
-    route->state = state;
-    route->spec = std::move(spec);
-    route->owner = aOwner;
-    auto& ofHost = aTable.byHost[Lower(route->spec.host)];
-    ofHost.push_back(std::move(route));
-  }
-}
-
 std::shared_ptr<const ServiceRoute>
 RouteBuilder::RouteOf(const std::shared_ptr<const ConfiguredService>& aService)
 {
--- a/src/baobab/node/route_table_test.cpp
+++ b/src/baobab/node/route_table_test.cpp
@@ -33,6 +33,14 @@
   "name = 'quoting'\nrevision = 1\nhosts = ['q.example']\n"
   "path_prefix = '/quote'\n";
 
+std::unique_ptr<RouteTable>
+BuildWith(RouteBuilder& aBuilder, const Configuration& aConfiguration)
+{
+  aBuilder.SetConfiguration(
+    std::make_shared<const Configuration>(aConfiguration));
+  return aBuilder.Build({});
+}
+
 /// Makes a target look full.
 void
 Fill(TargetRef& aTarget)
@@ -48,7 +56,7 @@
 {
   RouteBuilder builder(kHere);
   builder.Update(Member(1));
-  const auto table = builder.Build(Configured(kFile), {});
+  const auto table = BuildWith(builder, Configured(kFile));
   BOOST_TEST(table->Find("Q.example", "/quote/1") != nullptr);
   BOOST_TEST(table->Find("q.example", "/other") == nullptr);
   BOOST_TEST(table->Find("other", "/quote") == nullptr);
@@ -60,12 +68,12 @@
   RouteBuilder builder(kHere);
   builder.Update(Member(1));
   const Configuration configuration = Configured(kFile);
-  const auto first = builder.Build(configuration, {});
+  const auto first = BuildWith(builder, configuration);
   builder.Update(Member(1));
-  const auto second = builder.Build(configuration, {});
+  const auto second = BuildWith(builder, configuration);
   BOOST_TEST(first->routes[0] == second->routes[0]);
   builder.Update(Member(2));
-  const auto third = builder.Build(configuration, {});
+  const auto third = BuildWith(builder, configuration);
   BOOST_TEST(third->routes[0] != second->routes[0]);
   BOOST_TEST(third->routes[0]->tiers[0][0] == first->routes[0]->tiers[0][0]);
 }
@@ -78,17 +86,17 @@
   builder.Update(Member(2));
   builder.Update(Member(3, { "south-west", "albany" }));
   const Configuration configuration = Configured(kFile);
-  BOOST_TEST(builder.Build(configuration, {})->TargetCount() == 3U);
+  BOOST_TEST(BuildWith(builder, configuration)->TargetCount() == 3U);
   leaving.targetState = TargetState::Leaving;
   builder.Update(leaving);
-  BOOST_TEST(builder.Build(configuration, {})->TargetCount() == 2U);
+  BOOST_TEST(BuildWith(builder, configuration)->TargetCount() == 2U);
   MemberRecord dead = Member(2);
   dead.state = MemberState::Dead;
   builder.Update(dead);
   builder.SetSilentRegions({ "south-west" });
-  BOOST_TEST(builder.Build(configuration, {})->TargetCount() == 0U);
+  BOOST_TEST(BuildWith(builder, configuration)->TargetCount() == 0U);
   builder.SetSilentRegions({});
-  BOOST_TEST(builder.Build(configuration, {})->TargetCount() == 1U);
+  BOOST_TEST(BuildWith(builder, configuration)->TargetCount() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(nothing_spills_while_the_region_has_room)
@@ -97,7 +105,7 @@
   builder.Update(Member(1));
   builder.Update(Member(2, { "perth", "south" }));
   builder.Update(Member(3, { "south-west", "albany" }));
-  const auto table = builder.Build(Configured(kFile), {});
+  const auto table = BuildWith(builder, Configured(kFile));
   const ServiceRoute& route = *table->routes[0];
   route.state->spill.SetRate(1 << 20);
   SplitMix random(1);
@@ -117,7 +125,7 @@
 {
   RouteBuilder builder(kHere);
   builder.Update(Member(1));
-  const auto table = builder.Build(Configured(kFile), {});
+  const auto table = BuildWith(builder, Configured(kFile));
   const ServiceRoute& route = *table->routes[0];
   route.tiers[0][0]->breaker.HoldBack(kNow, 1s);
   SplitMix random(1);
@@ -132,7 +140,7 @@
   for (std::uint32_t host = 1; host <= 9; ++host) {
     builder.Update(Member(host));
   }
-  const auto table = builder.Build(Configured(kFile), {});
+  const auto table = BuildWith(builder, Configured(kFile));
   const auto first = ChooseIsolated(*table->routes[0], 77).target;
   BOOST_TEST(ChooseIsolated(*table->routes[0], 77).target == first);
 }
--- a/src/baobab/node/status_agent.cpp
+++ b/src/baobab/node/status_agent.cpp
@@ -3,6 +3,7 @@
 #include "baobab/core/random.hpp"
 #include "baobab/decision/rendezvous.hpp"
 #include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 #include "baobab/net/status_json.hpp"
 #include "baobab/net/worker.hpp"
 
@@ -174,7 +175,7 @@
     if (Succeeded(decoded)) {
       this->status = std::move(Value(decoded));
     } else {
-      Log(kChannel, LogLevel::Warning, Describe(Failure(decoded)));
+      Log(kStatusInvalid, Failure(decoded));
     }
   }
   this->loaded = true;
--- /dev/null
+++ b/src/baobab/node/target_probe.cpp
@@ -0,0 +1,44 @@
+#include "baobab/node/target_probe.hpp"
+
+#include "baobab/net/http_server.hpp"
+
+namespace baobab {
+namespace {
+
+std::optional<LoadReport>
+LoadIn(const Response& aHealth, const Settings& aSettings)
+{
+  return ParseLoad(FindHeader(aHealth.headers, aSettings.headers.load));
+}
+
+}
+
+std::optional<LoadReport>
+ProbeLoad(TargetClient& aTarget,
+          std::string_view aPath,
+          const Settings& aSettings)
+{
+  const auto health = aTarget.AskHealth(aPath, aSettings.timeouts.connect);
+  return Succeeded(health) ? LoadIn(Value(health), aSettings) : std::nullopt;
+}
+
+std::optional<ProbedTarget>
+ProbeTarget(TargetClient& aTarget,
+            std::string_view aPath,
+            const Settings& aSettings)
+{
+  constexpr unsigned kOk = 200;
+  const auto health = aTarget.AskHealth(aPath, aSettings.timeouts.connect);
+  if (!Succeeded(health) || Value(health).status != kOk) {
+    return std::nullopt;
+  }
+  const auto load = LoadIn(Value(health), aSettings);
+  const auto instance =
+    FindHeader(Value(health).headers, aSettings.headers.instance);
+  if (!load || load->slots == 0 || instance.empty()) {
+    return std::nullopt;
+  }
+  return ProbedTarget{ std::string(instance), *load };
+}
+
+}
--- a/src/baobab/wire/peer_codec.cpp
+++ b/src/baobab/wire/peer_codec.cpp
@@ -3,6 +3,7 @@
 #include "deflate.hpp"
 #include "generated/peer_generated.h"
 #include "member_codec.hpp"
+#include "packed_texts.hpp"
 
 #include <algorithm>
 #include <cstring>
@@ -165,7 +166,8 @@
                           aMessage.priority,
                           aMessage.objective.count(),
                           Unsigned(aMessage.work),
-                          Unsigned(aMessage.alternative))
+                          Unsigned(aMessage.alternative),
+                          aMessage.traced)
              .Union() };
 }
 
@@ -267,7 +269,7 @@
     const auto name = aBuilder.CreateString(entry.name);
     const auto hash = aBuilder.CreateString(entry.hash);
     const auto size = static_cast<std::uint32_t>(delta.texts[i].size());
-    const auto deflated = EncodeBytes(aBuilder, Deflate(delta.texts[i]));
+    const auto deflated = EncodeBytes(aBuilder, PackedText(entry.hash, delta.texts[i]));
     entries.push_back(fb::CreateConfigEntry(
       aBuilder, name, entry.revision, hash, entry.generation, size, deflated));
   }
@@ -389,6 +391,7 @@
   message.objective = Micros(aCall.objective_us());
   message.work = ToMicros(aCall.work_us());
   message.alternative = ToMicros(aCall.alternative_us());
+  message.traced = aCall.traced();
   return PeerMessage(std::move(message));
 }
 
@@ -435,10 +438,14 @@
       if (entry->size() > kLargestServiceFile) {
         return Error{ ErrorKind::TooLarge, "service file is too large", "" };
       }
-      auto text = Inflate(DecodeBytes(entry->deflated()), entry->size());
+      std::string packed = DecodeBytes(entry->deflated());
+      auto text = Inflate(packed, entry->size());
       if (!Succeeded(text)) {
         return Failure(text);
       }
+      if (ContentHash(Value(text)) == message.delta.entries.back().hash) {
+        RememberPacked(message.delta.entries.back().hash, std::move(packed));
+      }
       message.delta.texts.push_back(std::move(Value(text)));
     }
   }
--- a/src/bin/daemon_program.cpp
+++ b/src/bin/daemon_program.cpp
@@ -2,13 +2,16 @@
 
 #include "baobab/core/settings.hpp"
 #include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 #include "command_line.hpp"
 
+#include <csignal>
 #include <gflags/gflags.h>
 #include <iostream>
 
 DEFINE_string(settings, "", "settings file (TOML)");
 DEFINE_bool(print_reference, false, "print all keys of the file and exit");
+DEFINE_bool(print_log_reference, false, "print all log events and exit");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
 
 namespace {
@@ -33,12 +36,25 @@
   return ParseSettings(Value(text), FLAGS_settings);
 }
 
+void
+StartLog(const Settings& aSettings)
+{
+  // The reader of the log may go before this process does.
+  std::signal(SIGPIPE, SIG_IGN);
+  InitLog({ aSettings.logFormat == "text" ? LogFormat::Text : LogFormat::Json,
+            aSettings.logLevel });
+}
+
 int
 Run(const Platform& aPlatform)
 {
   if (PrintReference(FLAGS_print_reference, SettingsSchema())) {
     return 0;
   }
+  if (FLAGS_print_log_reference) {
+    std::cout << LogReference();
+    return 0;
+  }
   const auto settings = ReadSettings();
   if (!Succeeded(settings)) {
     std::cerr << Describe(Failure(settings)) << "\n";
@@ -48,8 +64,9 @@
     std::cout << FLAGS_settings << ": ok\n";
     return 0;
   }
-  InitLog(Value(settings).logFormat, Value(settings).logLevel);
+  StartLog(Value(settings));
   const auto ended = RunDaemon(Value(settings), aPlatform, ReadSettings);
+  StopLog();
   if (!Succeeded(ended)) {
     std::cerr << Describe(Failure(ended)) << "\n";
     return kExitUnavailable;
--- a/testing/capacity_bench.cpp
+++ b/testing/capacity_bench.cpp
@@ -138,10 +138,12 @@
   const double beforeRoutes = Resident();
   const Configuration configuration = FullConfiguration();
   RouteBuilder builder(Member(0).locality);
+  builder.SetConfiguration(
+    std::make_shared<const Configuration>(configuration));
   for (int i = 0; i < FLAGS_members; ++i) {
     builder.Update(Member(i));
   }
-  auto table = builder.Build(configuration, {});
+  auto table = builder.Build({});
   std::printf("%-28s %14.0f bytes\n",
               "routes and configuration",
               Resident() - beforeRoutes);
@@ -150,7 +152,7 @@
     record.targetState =
       aRound % 2 == 0 ? TargetState::Leaving : TargetState::Ready;
     builder.Update(record);
-    table = builder.Build(configuration, {});
+    table = builder.Build({});
   });
   Measure("configuration change applied", 200, [&](int aRound) {
     configuration.Apply(ChangeOf(configuration, aRound % FLAGS_services));
--- a/testing/fault_proxy.cpp
+++ b/testing/fault_proxy.cpp
@@ -64,8 +64,7 @@
   {
     auto acceptor = Listen(this->context, this->listen);
     if (!Succeeded(acceptor)) {
-      Log("proxy", LogLevel::Error, Describe(Failure(acceptor)));
-      std::_Exit(2);
+      Fail(Failure(acceptor));
     }
     AcceptConnections(Value(acceptor), [this](Tcp::socket aSocket) {
       auto pair = std::make_shared<Pair>(this->context);
@@ -256,7 +255,6 @@
 main(int aCount, char** aArguments)
 {
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
-  baobab::InitLog("text", "info");
   baobab::Run();
   std::_Exit(0);
 }
--- a/testing/standin.hpp
+++ b/testing/standin.hpp
@@ -4,23 +4,32 @@
 
 #include "baobab/core/endpoint.hpp"
 #include "baobab/net/http_server.hpp"
-#include "baobab/net/log.hpp"
 #include "baobab/net/worker.hpp"
 
 #include <boost/asio/signal_set.hpp>
+#include <cstdlib>
 #include <functional>
+#include <iostream>
 #include <string>
 
 namespace baobab {
 
+/// Reports why a stand-in cannot run, and ends the process.
+[[noreturn]] inline void
+Fail(const Error& aError)
+{
+  constexpr int kCannotRun = 2;
+  std::cerr << Describe(aError) << std::endl;
+  std::_Exit(kCannotRun);
+}
+
 /// Parses an endpoint of the command line; ends the process if it is none.
 inline Endpoint
 RequireEndpoint(const std::string& aText)
 {
   const auto endpoint = ParseEndpoint(aText);
   if (!Succeeded(endpoint)) {
-    Log("standin", LogLevel::Error, Describe(Failure(endpoint)));
-    std::_Exit(2);
+    Fail(Failure(endpoint));
   }
   return Value(endpoint);
 }
@@ -51,8 +60,7 @@
   aWorker.RunHere([&] {
     auto acceptor = Listen(aWorker.Context(), aEndpoint);
     if (!Succeeded(acceptor)) {
-      Log("standin", LogLevel::Error, Describe(Failure(acceptor)));
-      std::_Exit(2);
+      Fail(Failure(acceptor));
     }
     aStart();
     ServeHttp(Value(acceptor), limits, handler, gate);
--- a/testing/target_standin.cpp
+++ b/testing/target_standin.cpp
@@ -226,7 +226,6 @@
 main(int aCount, char** aArguments)
 {
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
-  baobab::InitLog("text", "info");
   baobab::Run();
   std::_Exit(0);
 }
