Settings change while the daemon runs, with or without a signal

Cause: only SIGHUP was noticed and it applied the log level alone. A file that does not check out changes nothing. Tests: core/settings_change_test, node/settings_reloader_test. Denied retries and changed members are logged; metrics of a daemon have a file of their own.

--- a/include/baobab/core/schema.hpp
+++ b/include/baobab/core/schema.hpp
@@ -36,6 +36,8 @@
   bool required = false;
   /// Stores a value; returns what was expected if the value does not fit.
   std::function<std::optional<Error>(T&, const TomlValue&)> assign;
+  /// True if a change takes effect while the program runs.
+  bool live = false;
 };
 
 /// A whole number with its inclusive range.
@@ -280,6 +282,16 @@
   return aField;
 }
 
+/// Marks a key whose changes take effect while the program runs.
+template<class T>
+Field<T>
+Live(Field<T> aField)
+{
+  aField.live = true;
+  aField.help.help += " Changes take effect at once.";
+  return aField;
+}
+
 /// Reads entries strictly: every key must be known, of its type and in range,
 /// and no required key may be absent.
 template<class T>
--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -91,6 +91,15 @@
   std::int64_t fleetBurst = 1000000;
 };
 
+/// Settings that may change while the program runs.
+struct LiveSettings
+{
+  RetryCaps retries;
+  PlacementSpec placement;
+  /// Part of the calls of which every step is logged, whatever their outcome.
+  double logCallShare = 0.01;
+};
+
 struct Settings
 {
   Endpoint callers;
@@ -104,8 +113,7 @@
   /// itself; announcements of other addresses are refused. Unset: any.
   std::optional<Endpoint> target;
   HeaderNames headers;
-  RetryCaps retries;
-  PlacementSpec placement;
+  LiveSettings live;
   /// Address that is announced to other daemons; unset: `peers`.
   std::optional<Endpoint> announced;
   Endpoint admin;
@@ -117,8 +125,6 @@
   std::int64_t headerBytes = 16384;
   std::string logFormat = "json";
   std::string logLevel = "info";
-  /// Part of the calls of which every step is logged, whatever their outcome.
-  double logCallShare = 0.01;
   Timeouts timeouts;
   ControlBudget control;
 
--- a/include/baobab/decision/member.hpp
+++ b/include/baobab/decision/member.hpp
@@ -5,8 +5,11 @@
 #include "baobab/core/locality.hpp"
 #include "baobab/core/target_state.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace baobab {
 
@@ -20,6 +23,16 @@
   Unreachable,
 };
 
+/// Returns the name of a state in logs.
+constexpr std::string_view
+Name(MemberState aState)
+{
+  constexpr std::array<std::string_view, 4> kNames = {
+    "alive", "suspect", "dead", "unreachable"
+  };
+  return kNames[static_cast<std::size_t>(aState)];
+}
+
 /// One daemon and its target, as it is spread by gossip.
 struct MemberRecord
 {
--- a/include/baobab/node/attempt_runner.hpp
+++ b/include/baobab/node/attempt_runner.hpp
@@ -19,6 +19,7 @@
   AttemptRunner(boost::asio::io_context& aContext,
                 LinkIdentity aIdentity,
                 LoadListener aOnLoad,
+                const RcuCell<RouteTable>& aRoutes,
                 const Settings& aSettings);
 
   /// Chooses a target that was not tried yet; none if there is none.
@@ -46,7 +47,7 @@
                     const AttemptResult& aResult,
                     Duration aLatency);
 
-  const Settings& settings;
+  const RcuCell<RouteTable>& routes;
   LinkPool links;
   /// Targets that were called, for their news.
   std::unordered_map<Endpoint, std::weak_ptr<TargetRef>> called;
--- a/include/baobab/node/daemon.hpp
+++ b/include/baobab/node/daemon.hpp
@@ -3,9 +3,9 @@
 #pragma once
 
 #include "baobab/core/result.hpp"
-#include "baobab/core/settings.hpp"
 #include "baobab/net/config_source.hpp"
 #include "baobab/net/store.hpp"
+#include "baobab/node/settings_reloader.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -29,9 +29,9 @@
 
 /// Runs a daemon until SIGTERM or SIGINT, then drains it. Fails with System
 /// if an address cannot be used.
-/// @param aReload reads the settings again, on SIGHUP and now and then
-Result<Done> RunDaemon(const Settings& aSettings,
+/// @param aReader reads the settings again, on SIGHUP and when they change
+Result<Done> RunDaemon(const LoadedSettings& aSettings,
                        const Platform& aPlatform,
-                       std::function<Result<Settings>()> aReload);
+                       SettingsReader aReader);
 
 }
--- /dev/null
+++ b/include/baobab/node/daemon_metrics.hpp
@@ -0,0 +1,32 @@
+/// @file
+#pragma once
+
+#include "baobab/core/load_report.hpp"
+#include "baobab/decision/membership.hpp"
+#include "baobab/node/gossip_agent.hpp"
+#include "baobab/node/metrics.hpp"
+#include "baobab/node/route_table.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace baobab {
+
+/// Figures of a daemon's control side.
+struct ControlFigures
+{
+  std::uint64_t generation = 0;
+  std::uint64_t storeCalls = 0;
+  std::int64_t controlBytes = 0;
+  std::size_t suspects = 0;
+  const GossipCounts& gossip;
+  LoadReport target;
+  const Membership& members;
+};
+
+void AddControlMetrics(MetricsPage& aPage, const ControlFigures& aFigures);
+
+/// Adds what is known of routable targets and budgets.
+void AddRouteMetrics(MetricsPage& aPage, const RouteTable& aTable);
+
+}
--- a/include/baobab/node/route_publisher.hpp
+++ b/include/baobab/node/route_publisher.hpp
@@ -30,9 +30,15 @@
     return this->configuration;
   }
 
+  /// Takes over settings that changed; they are in force when this returns.
+  void SetLive(const LiveSettings& aLive);
+
   /// Publishes a new table if something changed.
   void Refresh(TimePoint aNow);
 
+  /// Logs for which services retries were denied since the last call.
+  void ReportDeniedRetries() const;
+
   /// Makes the next Refresh publish whatever changed.
   void MarkChanged() { this->changed = true; }
 
@@ -42,7 +48,7 @@
   Membership& membership;
   Quarantine& quarantine;
   RcuCell<RouteTable>& routes;
-  RetryCaps caps;
+  LiveSettings live;
   RouteBuilder builder;
   std::shared_ptr<const Configuration> configuration;
   std::uint64_t publishedVersion = 0;
--- a/include/baobab/node/route_table.hpp
+++ b/include/baobab/node/route_table.hpp
@@ -4,6 +4,7 @@
 
 #include "baobab/core/endpoint.hpp"
 #include "baobab/core/locality.hpp"
+#include "baobab/core/settings.hpp"
 #include "baobab/decision/breaker.hpp"
 #include "baobab/decision/configuration.hpp"
 #include "baobab/decision/member.hpp"
@@ -69,6 +70,7 @@
   std::uint64_t generation = 0;
   /// The tightest limits of all service files.
   CallerLimits callers;
+  LiveSettings live;
   std::shared_ptr<const RouteIndex> index = std::make_shared<RouteIndex>();
 };
 
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -137,21 +137,21 @@
       ParseEndpoint,
       "Address of the local target, the only one that may announce itself; "
       "unset: any."),
-    Real<S>(
+    Live(Real<S>(
       "retry.ratio",
-      [](S& s) -> auto& { return s.retries.ratio; },
+      [](S& s) -> auto& { return s.live.retries.ratio; },
       0,
       1,
       "retries per call",
       "Retries that a first attempt earns at most, whatever service files "
-      "allow."),
-    Integer<S>(
+      "allow.")),
+    Live(Integer<S>(
       "retry.fleet_burst",
-      [](S& s) -> auto& { return s.retries.fleetBurst; },
+      [](S& s) -> auto& { return s.live.retries.fleetBurst; },
       { 0, 1000000 },
       "retries",
       "Retries that the fleet may save up for a service at most; each daemon "
-      "has its share."),
+      "has its share.")),
     EndpointField(
       "store.address",
       [](S& s) -> auto& { return s.store; },
@@ -193,20 +193,20 @@
       [](S& s) -> auto& { return s.logFormat; },
       { { "json", "json" }, { "text", "text" } },
       "Form of the log lines."),
-    Parsed<S>(
+    Live(Parsed<S>(
       "log.level",
       "string",
       [](S& s) -> auto& { return s.logLevel; },
       ParseLogLevel,
-      "Lowest level that is logged: debug, info (default), warning, error."),
-    Real<S>(
+      "Lowest level that is logged: debug, info (default), warning, error.")),
+    Live(Real<S>(
       "log.call_share",
-      [](S& s) -> auto& { return s.logCallShare; },
+      [](S& s) -> auto& { return s.live.logCallShare; },
       0,
       1,
       "fraction of calls",
       "Calls of which every step is logged; calls that do not end well are "
-      "logged always."),
+      "logged always.")),
     TimeoutField(
       "caller_header_ms",
       [](S& s) -> auto& { return s.timeouts.callerHeader; },
@@ -274,18 +274,18 @@
       { 0, 600000 },
       "ms",
       "Time for which a new daemon takes no share in fleet budgets."),
-    Time<S>(
+    Live(Time<S>(
       "placement.zone_ms_per_mb",
-      [](S& s) -> auto& { return s.placement.zonePerMegabyte; },
+      [](S& s) -> auto& { return s.live.placement.zonePerMegabyte; },
       { 0, 1000000 },
       "ms/MB",
-      "Latency that is accepted to keep a megabyte in its availability zone."),
-    Time<S>(
+      "Latency that is accepted to keep a megabyte in its availability zone.")),
+    Live(Time<S>(
       "placement.region_ms_per_mb",
-      [](S& s) -> auto& { return s.placement.regionPerMegabyte; },
+      [](S& s) -> auto& { return s.live.placement.regionPerMegabyte; },
       { 0, 1000000 },
       "ms/MB",
-      "Latency that is accepted to keep a megabyte in its region."),
+      "Latency that is accepted to keep a megabyte in its region.")),
     Time<S>(
       "control.status_ms",
       [](S& s) -> auto& { return s.control.statusPeriod; },
--- a/src/baobab/node/attempt_runner.cpp
+++ b/src/baobab/node/attempt_runner.cpp
@@ -88,8 +88,9 @@
 AttemptRunner::AttemptRunner(boost::asio::io_context& aContext,
                              LinkIdentity aIdentity,
                              LoadListener aOnLoad,
+                             const RcuCell<RouteTable>& aRoutes,
                              const Settings& aSettings)
-  : settings(aSettings)
+  : routes(aRoutes)
   , links(aContext,
           std::move(aIdentity),
           aSettings.timeouts,
@@ -173,7 +174,8 @@
     static_cast<std::int64_t>(aCall.request.body.size() +
                               aCall.request.target.size()) +
       kCallOverhead + learned.AnswerBytes(),
-    this->settings.placement,
+    this->routes.Read(
+      [](const RouteTable& aTable) { return aTable.live.placement; }),
   };
 }
 
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -10,6 +10,7 @@
 #include "baobab/node/config_agent.hpp"
 #include "baobab/node/gossip_agent.hpp"
 #include "baobab/node/ingress_pool.hpp"
+#include "baobab/node/daemon_metrics.hpp"
 #include "baobab/node/metrics.hpp"
 #include "baobab/node/peer_server.hpp"
 #include "baobab/node/route_publisher.hpp"
@@ -18,13 +19,13 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
-#include <sys/resource.h>
 
 namespace baobab {
 namespace {
 
 constexpr Duration kTickPeriod = 10ms;
 constexpr Duration kRefreshPeriod = 50ms;
+constexpr Duration kReportPeriod = 1s;
 constexpr Duration kDrainCheck = 20ms;
 
 /// Time before the end of a shutdown at which calls that have not started are
@@ -67,66 +68,58 @@
   return options;
 }
 
-double
-ProcessorSeconds()
-{
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  constexpr double kMicro = 1e-6;
-  return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
-         kMicro *
-           static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
-}
-
 class Daemon
 {
 public:
-  Daemon(const Settings& aSettings,
+  Daemon(const LoadedSettings& aSettings,
          const Platform& aPlatform,
-         std::function<Result<Settings>()> aReload)
-    : settings(aSettings)
-    , reload(std::move(aReload))
-    , membership(SelfRecord(aSettings),
-                 OptionsOf(aSettings),
+         SettingsReader aReader)
+    : settings(aSettings.settings)
+    , membership(SelfRecord(this->settings),
+                 OptionsOf(this->settings),
                  EntropySeed(),
                  Now())
-    , pacer(aSettings.control.bytesPerSecond)
-    , publisher(this->membership, this->quarantine, this->routes, aSettings)
+    , pacer(this->settings.control.bytesPerSecond)
+    , publisher(this->membership, this->quarantine, this->routes, this->settings)
     , config(this->control.Context(),
-             aPlatform.openConfig(this->control.Context(), aSettings.store),
+             aPlatform.openConfig(this->control.Context(), this->settings.store),
              this->membership,
              this->publisher,
              this->pacer,
-             aSettings)
+             this->settings)
     , gossip(this->control.Context(),
-             aPlatform.openStore(this->control.Context(), aSettings.store),
+             aPlatform.openStore(this->control.Context(), this->settings.store),
              this->membership,
              this->quarantine,
              this->pacer,
-             aSettings)
-    , target(this->control.Context(), aSettings)
+             this->settings)
+    , target(this->control.Context(), this->settings)
     , calls(
         this->target,
         this->quarantine,
         [this](std::string_view aService) { return this->RouteOf(aService); },
-        aSettings)
+        this->settings)
     , peers(
         this->calls,
         [this](const auto& aFrames, const PeerMessage& aMessage) {
           return this->OnControl(aFrames, aMessage);
         },
         EntropySeed(),
-        aSettings)
+        this->settings)
     , status(
         this->control.Context(),
-        aPlatform.openStore(this->control.Context(), aSettings.store),
+        aPlatform.openStore(this->control.Context(), this->settings.store),
         this->membership,
         this->pacer,
         [this] { return this->Counts(); },
         [this] { return this->config.Generation(); },
-        aSettings)
-    , ingress(this->routes, aSettings)
+        this->settings)
+    , ingress(this->routes, this->settings)
     , adminGate(kAdminConnections)
+    , reloader(aSettings, std::move(aReader), [this](const Settings& aNext) {
+      SetLogLevel(aNext.logLevel);
+      this->publisher.SetLive(aNext.live);
+    })
   {
   }
 
@@ -219,6 +212,7 @@
                   this->readinessGate);
       });
     }
+    Spawn([this] { this->reloader.Run(); });
     Spawn([this] { this->FindTarget(); });
     Spawn([this] { this->calls.RunLoadProbes(); });
     this->ingress.Start();
@@ -233,6 +227,7 @@
   void RunTimers()
   {
     TimePoint nextRefresh = Now();
+    TimePoint nextReport = Now();
     while (true) {
       boost::this_fiber::sleep_for(kTickPeriod);
       this->calls.Tick();
@@ -242,6 +237,10 @@
         nextRefresh = now + kRefreshPeriod;
         this->publisher.Refresh(now);
       }
+      if (now >= nextReport) {
+        nextReport = now + kReportPeriod;
+        this->publisher.ReportDeniedRetries();
+      }
     }
   }
 
@@ -288,25 +287,12 @@
   {
     aSignals.async_wait([this, &aSignals](auto aError, int) {
       if (!aError) {
-        this->Reload();
+        this->reloader.Read(true);
         this->AwaitReload(aSignals);
       }
     });
   }
 
-  /// Checks the settings file again. What can change without a restart is in
-  /// force from here on; a file that does not check out changes nothing.
-  void Reload()
-  {
-    const auto next = this->reload();
-    if (!Succeeded(next)) {
-      Log(kSettingsRejected, Failure(next));
-      return;
-    }
-    SetLogLevel(Value(next).logLevel);
-    Log(kSettingsApplied, "log.level", "");
-  }
-
   /// Tells other daemons about the local target when its state changes.
   void SpreadTargetState()
   {
@@ -364,62 +350,20 @@
     for (const auto& [service, values] : stats) {
       page.AddService(service, values);
     }
-    this->AddControlMetrics(page);
+    AddControlMetrics(page,
+                      { this->config.Generation(),
+                        this->config.StoreCalls() + this->gossip.StoreCalls() +
+                          this->status.StoreCalls(),
+                        this->pacer.Spent(),
+                        this->quarantine.Size(),
+                        this->gossip.Counts(),
+                        this->calls.Gate().Report(),
+                        this->membership });
+    this->routes.Read(
+      [&](const RouteTable& aTable) { AddRouteMetrics(page, aTable); });
     return page.Text();
   }
 
-  void AddControlMetrics(MetricsPage& aPage) const
-  {
-    const auto add = [&](std::string_view aName, auto aValue) {
-      aPage.Add(aName, "", static_cast<double>(aValue));
-    };
-    const GossipCounts& counts = this->gossip.Counts();
-    const LoadReport load = this->calls.Gate().Report();
-    add("generation", this->config.Generation());
-    add("members", this->membership.Size());
-    add("address_conflicts_total", this->membership.AddressConflicts());
-    add("gossip_sent_total", counts.sent);
-    add("gossip_sent_bytes_total", counts.sentBytes);
-    add("gossip_received_total", counts.received);
-    add("gossip_received_bytes_total", counts.receivedBytes);
-    add("gossip_invalid_total", counts.invalid);
-    add("gossip_left_out_total", counts.leftOut);
-    add("gossip_exchanges_total", counts.exchanges);
-    add("control_spent_bytes_total", this->pacer.Spent());
-    add("store_calls_total",
-        this->config.StoreCalls() + this->gossip.StoreCalls() +
-          this->status.StoreCalls());
-    add("target_running", load.running);
-    add("target_queued", load.queued);
-    add("target_slots", load.slots);
-    add("suspects", this->quarantine.Size());
-    add("process_cpu_seconds_total", ProcessorSeconds());
-    this->routes.Read([&](const RouteTable& aTable) {
-      add("routable_targets", aTable.TargetCount());
-      for (const auto& route : aTable.routes) {
-        AddBudgetMetrics(aPage, *route);
-      }
-    });
-  }
-
-  static void AddBudgetMetrics(MetricsPage& aPage, const ServiceRoute& aRoute)
-  {
-    const std::string label =
-      "service=\"" + aRoute.service->spec.name + "\",budget=\"";
-    const auto add = [&](std::string_view aName, const ByteBudget& aBudget) {
-      const std::string labels = label + std::string(aName) + "\"";
-      aPage.Add("budget_spent_bytes_total",
-                labels,
-                static_cast<double>(aBudget.Spent()));
-      aPage.Add("budget_allowed_bytes_per_second",
-                labels,
-                static_cast<double>(aBudget.Rate()));
-    };
-    add("measuring", aRoute.state->measuring);
-    add("measuring_across", aRoute.state->measuringAcross);
-    add("spill", aRoute.state->spill);
-  }
-
   void Drain()
   {
     if (this->draining) {
@@ -451,7 +395,6 @@
   }
 
   const Settings& settings;
-  std::function<Result<Settings>()> reload;
   Worker control;
   Membership membership;
   Quarantine quarantine;
@@ -473,6 +416,7 @@
   std::optional<Tcp::acceptor> readinessAcceptor;
   std::optional<Tcp::acceptor> peerAcceptor;
   std::optional<Tcp::acceptor> adminAcceptor;
+  SettingsReloader reloader;
   bool draining = false;
 };
 
@@ -491,13 +435,13 @@
 }
 
 Result<Done>
-RunDaemon(const Settings& aSettings,
+RunDaemon(const LoadedSettings& aSettings,
           const Platform& aPlatform,
-          std::function<Result<Settings>()> aReload)
+          SettingsReader aReader)
 {
   // Fibers of a stopped daemon still hold references into it, so it is never
   // destroyed; the process ends right after.
-  auto* daemon = new Daemon(aSettings, aPlatform, std::move(aReload));
+  auto* daemon = new Daemon(aSettings, aPlatform, std::move(aReader));
   return daemon->Run();
 }
 
--- /dev/null
+++ b/src/baobab/node/daemon_metrics.cpp
@@ -0,0 +1,78 @@
+#include "baobab/node/daemon_metrics.hpp"
+
+#include <string>
+#include <sys/resource.h>
+
+namespace baobab {
+namespace {
+
+double
+ProcessorSeconds()
+{
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  constexpr double kMicro = 1e-6;
+  return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+         kMicro *
+           static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+}
+
+void
+AddBudgetMetrics(MetricsPage& aPage, const ServiceRoute& aRoute)
+{
+  const std::string label =
+    "service=\"" + aRoute.service->spec.name + "\",budget=\"";
+  const auto add = [&](std::string_view aName, const ByteBudget& aBudget) {
+    const std::string labels = label + std::string(aName) + "\"";
+    aPage.Add("budget_spent_bytes_total",
+              labels,
+              static_cast<double>(aBudget.Spent()));
+    aPage.Add("budget_allowed_bytes_per_second",
+              labels,
+              static_cast<double>(aBudget.Rate()));
+  };
+  add("measuring", aRoute.state->measuring);
+  add("measuring_across", aRoute.state->measuringAcross);
+  add("spill", aRoute.state->spill);
+}
+
+}
+
+void
+AddControlMetrics(MetricsPage& aPage, const ControlFigures& aFigures)
+{
+  const auto add = [&](std::string_view aName, auto aValue) {
+    aPage.Add(aName, "", static_cast<double>(aValue));
+  };
+  const GossipCounts& counts = aFigures.gossip;
+  add("generation", aFigures.generation);
+  add("members", aFigures.members.Size());
+  add("address_conflicts_total", aFigures.members.AddressConflicts());
+  add("gossip_sent_total", counts.sent);
+  add("gossip_sent_bytes_total", counts.sentBytes);
+  add("gossip_received_total", counts.received);
+  add("gossip_received_bytes_total", counts.receivedBytes);
+  add("gossip_invalid_total", counts.invalid);
+  add("gossip_left_out_total", counts.leftOut);
+  add("gossip_exchanges_total", counts.exchanges);
+  add("control_spent_bytes_total", aFigures.controlBytes);
+  add("store_calls_total", aFigures.storeCalls);
+  add("target_running", aFigures.target.running);
+  add("target_queued", aFigures.target.queued);
+  add("target_slots", aFigures.target.slots);
+  add("target_slowness_percent", aFigures.target.slowness);
+  add("suspects", aFigures.suspects);
+  add("process_cpu_seconds_total", ProcessorSeconds());
+}
+
+void
+AddRouteMetrics(MetricsPage& aPage, const RouteTable& aTable)
+{
+  aPage.Add(
+    "routable_targets", "", static_cast<double>(aTable.TargetCount()));
+  for (const auto& route : aTable.routes) {
+    AddBudgetMetrics(aPage, *route);
+  }
+}
+
+}
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -74,6 +74,7 @@
       [this](const Endpoint& aEndpoint, const LoadReport& aLoad) {
         this->TakeLoad(aEndpoint, aLoad);
       },
+      aRoutes,
       aSettings)
   , attempts(this->runner)
   , random(EntropySeed())
--- a/src/baobab/node/ingress_call.cpp
+++ b/src/baobab/node/ingress_call.cpp
@@ -87,7 +87,9 @@
   IngressCall call;
   call.began = Now();
   call.terms = TermsOf(*aRule, aRequest, names.deadline, call.began);
-  call.terms.traced = Fraction(aRandom) < aSettings.logCallShare;
+  const double traced = aRoutes.Read(
+    [](const RouteTable& aTable) { return aTable.live.logCallShare; });
+  call.terms.traced = Fraction(aRandom) < traced;
   call.trail = std::make_shared<CallTrail>(
     std::string(FindHeader(aRequest.headers, names.requestId)),
     call.terms.traced,
--- a/src/baobab/node/route_publisher.cpp
+++ b/src/baobab/node/route_publisher.cpp
@@ -1,9 +1,26 @@
 #include "baobab/node/route_publisher.hpp"
 #include "baobab/net/clock.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 
 #include <algorithm>
 
 namespace baobab {
+namespace {
+
+void
+LogMember(const MemberRecord& aMember)
+{
+  Log(kMemberState,
+      aMember.endpoint,
+      aMember.locality.zone,
+      Name(aMember.state),
+      aMember.service,
+      Name(aMember.targetState),
+      aMember.incarnation);
+}
+
+}
 
 RoutePublisher::RoutePublisher(Membership& aMembership,
                                Quarantine& aQuarantine,
@@ -12,7 +29,7 @@
   : membership(aMembership)
   , quarantine(aQuarantine)
   , routes(aRoutes)
-  , caps(aSettings.retries)
+  , live(aSettings.live)
   , builder(aSettings.locality)
   , configuration(std::make_shared<const Configuration>())
 {
@@ -28,6 +45,14 @@
   this->Refresh(Now());
 }
 
+void
+RoutePublisher::SetLive(const LiveSettings& aLive)
+{
+  this->live = aLive;
+  this->changed = true;
+  this->Refresh(Now());
+}
+
 void
 RoutePublisher::Refresh(TimePoint aNow)
 {
@@ -42,10 +67,12 @@
   this->builder.SetSilentRegions(silent);
   for (const Endpoint& endpoint : this->membership.TakeChanged()) {
     if (const MemberRecord* member = this->membership.Find(endpoint)) {
+      LogMember(*member);
       this->builder.Update(*member);
     }
   }
   auto table = this->builder.Build(this->quarantine.Suspects(aNow));
+  table->live = this->live;
   this->DivideBudgets(*table, aNow);
   this->routes.Replace(std::move(table));
 }
@@ -61,7 +88,7 @@
       return ShareOf(aRate, daemons, settled);
     };
     const RetryShare retries =
-      ShareOfRetries(this->caps.ratio, this->caps.fleetBurst, daemons);
+      ShareOfRetries(this->live.retries.ratio, this->live.retries.fleetBurst, daemons);
     aRoute->state->retries.Configure(std::min(spec.retry.ratio, retries.ratio),
                                      std::min(spec.retry.burst, retries.burst));
     aRoute->state->measuring.SetRate(share(spec.measuring.bytesPerSecond));
@@ -71,4 +98,16 @@
   });
 }
 
+void
+RoutePublisher::ReportDeniedRetries() const
+{
+  this->routes.Read([](const RouteTable& aTable) {
+    for (const auto& route : aTable.routes) {
+      if (const auto denied = route->state->retries.TakeDenied(); denied > 0) {
+        Log(kRetriesDenied, route->service->spec.name, denied);
+      }
+    }
+  });
+}
+
 }
--- a/src/bin/daemon_program.cpp
+++ b/src/bin/daemon_program.cpp
@@ -1,11 +1,12 @@
 #include "daemon_program.hpp"
 
-#include "baobab/core/settings.hpp"
+#include "baobab/core/settings_change.hpp"
 #include "baobab/net/log.hpp"
 #include "baobab/net/log_events.hpp"
 #include "command_line.hpp"
 
 #include <csignal>
+#include <filesystem>
 #include <gflags/gflags.h>
 #include <iostream>
 
@@ -26,14 +27,23 @@
 
 using namespace baobab;
 
-Result<Settings>
+Result<LoadedSettings>
 ReadSettings()
 {
   const auto text = ReadTextFile(FLAGS_settings);
   if (!Succeeded(text)) {
     return Failure(text);
   }
-  return ParseSettings(Value(text), FLAGS_settings);
+  return LoadSettings(Value(text), FLAGS_settings);
+}
+
+/// Time of the settings file's last change; 0 if it cannot be told.
+std::int64_t
+SettingsStamp()
+{
+  std::error_code error;
+  const auto time = std::filesystem::last_write_time(FLAGS_settings, error);
+  return error ? 0 : time.time_since_epoch().count();
 }
 
 void
@@ -64,8 +74,9 @@
     std::cout << FLAGS_settings << ": ok\n";
     return 0;
   }
-  StartLog(Value(settings));
-  const auto ended = RunDaemon(Value(settings), aPlatform, ReadSettings);
+  StartLog(Value(settings).settings);
+  const auto ended = RunDaemon(
+    Value(settings), aPlatform, { ReadSettings, SettingsStamp });
   StopLog();
   if (!Succeeded(ended)) {
     std::cerr << Describe(Failure(ended)) << "\n";
