Metrics: latency by kind and outcome, hops, queue and target times, refusals, timer delay

Cause: only one histogram a service stood on the metrics page, and none could tell waiting from work.

--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -106,6 +106,8 @@
   Endpoint peers;
   /// Address that answers whether the daemon is ready; unset: only `admin`.
   std::optional<Endpoint> readiness;
+  /// Address that answers `/metrics`; unset: only `admin`.
+  std::optional<Endpoint> metrics;
   /// Service of the local target, for the caller's header; empty: as the
   /// target announces.
   std::string service;
--- a/include/baobab/net/http_server.hpp
+++ b/include/baobab/net/http_server.hpp
@@ -117,6 +117,8 @@
   std::size_t Busy() const { return this->busy; }
 
   std::size_t open = 0;
+  /// Connections taken since the start.
+  std::uint64_t accepted = 0;
   std::size_t busy = 0;
 
 private:
--- a/include/baobab/node/admin.hpp
+++ b/include/baobab/node/admin.hpp
@@ -33,4 +33,7 @@
 /// Handler for an address that only tells whether the daemon is ready.
 HttpHandler ReadinessHandler(std::function<bool()> aReady);
 
+/// Answers `/metrics`.
+HttpHandler MetricsHandler(std::function<std::string()> aMetrics);
+
 }
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -7,6 +7,7 @@
 #include "baobab/decision/quarantine.hpp"
 #include "baobab/decision/target_register.hpp"
 #include "baobab/node/admission_log.hpp"
+#include "baobab/node/call_stats.hpp"
 #include "baobab/node/crash_watch.hpp"
 #include "baobab/node/load_reporter.hpp"
 #include "baobab/node/route_table.hpp"
@@ -73,6 +74,8 @@
   /// State of the local target that may be spread to other daemons.
   TargetState State() const;
 
+  const TargetStats& Stats() const { return this->stats; }
+
   const Admission& Gate() const { return this->admission; }
 
   /// Called when a crash has changed the suspects.
@@ -136,6 +139,7 @@
   CallLedger ledger;
   bool leaving = false;
   TargetRegister targets;
+  TargetStats stats;
   SenderConnections senders;
   LoadReporter reporter{ this->senders };
   std::unordered_map<CallId, Waiting> waiting;
--- a/include/baobab/node/daemon_metrics.hpp
+++ b/include/baobab/node/daemon_metrics.hpp
@@ -22,6 +22,9 @@
   const GossipCounts& gossip;
   LoadReport target;
   const Membership& members;
+  std::uint64_t callerConnections = 0;
+  /// How late the control thread's timer fires.
+  const LatencyHistogram& timerDelays;
 };
 
 void AddControlMetrics(MetricsPage& aPage, const ControlFigures& aFigures);
--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -32,11 +32,11 @@
 
 private:
   Response Answer(Request&& aRequest, CallerWatch& aCaller);
-  Response Serve(const IngressCall& aCall);
+  Response Serve(IngressCall& aCall);
   Response Unserved(const IngressCall& aCall);
   HttpLimits Limits() const;
   Response Unrouted() const;
-  Outcome Carry(const IngressCall& aCall, ServiceStats& aStats);
+  Outcome Carry(const IngressCall& aCall);
   Response Conclude(const IngressCall& aCall,
                     Outcome aOutcome,
                     const std::string& aService);
--- a/include/baobab/node/ingress_call.hpp
+++ b/include/baobab/node/ingress_call.hpp
@@ -5,6 +5,7 @@
 #include "baobab/core/random.hpp"
 #include "baobab/core/settings.hpp"
 #include "baobab/net/http_server.hpp"
+#include "baobab/node/call_stats.hpp"
 #include "baobab/node/call_trail.hpp"
 #include "baobab/node/peer_link.hpp"
 #include "baobab/node/rcu_cell.hpp"
@@ -29,6 +30,8 @@
   /// Set while requests like this one are under suspicion.
   std::optional<std::uint64_t> suspect;
   std::shared_ptr<CallTrail> trail;
+  /// Statistics of the service; kept by the worker.
+  ServiceStats* stats = nullptr;
 };
 
 /// Makes a call out of a request: its deadline, its service by the weights of
--- a/include/baobab/node/ingress_pool.hpp
+++ b/include/baobab/node/ingress_pool.hpp
@@ -35,6 +35,9 @@
   /// Requests that are being answered.
   std::size_t Busy();
 
+  /// Connections of callers that were taken since the start.
+  std::uint64_t Accepted();
+
   /// Accepts no more connections and ends keep-alive on the open ones.
   void StopAccepting();
 
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -126,6 +126,12 @@
       [](S& s) -> auto& { return s.readiness; },
       ParseEndpoint,
       "Address that answers `/readyz` to others, besides `listen.admin`."),
+    Parsed<S>(
+      "listen.metrics",
+      "endpoint",
+      [](S& s) -> auto& { return s.metrics; },
+      ParseEndpoint,
+      "Address that answers `/metrics` to others, besides `listen.admin`."),
     Plain<S>(
       "service",
       [](S& s) -> auto& { return s.service; },
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -315,6 +315,7 @@
     auto connection = std::make_unique<Connection>(
       std::move(aSocket), aLimits, aHandler, aGate);
     ++aGate.open;
+    ++aGate.accepted;
     connections->insert(connection.get());
     Spawn([connection = std::move(connection), connections, &aGate] {
       connection->Run();
--- a/src/baobab/node/admin.cpp
+++ b/src/baobab/node/admin.cpp
@@ -57,6 +57,7 @@
 }
 
 constexpr std::string_view kTargets = "/targets/";
+constexpr std::string_view kMetrics = "/metrics";
 
 Response
 Announce(const AdminHooks& aHooks,
@@ -79,6 +80,12 @@
                 : TextResponse(503, "not ready\n");
 }
 
+Response
+MetricsResponse(std::string aPage)
+{
+  return TextResponse(200, std::move(aPage), "text/plain; version=0.0.4");
+}
+
 Response
 ServeTarget(const AdminHooks& aHooks, const Request& aRequest)
 {
@@ -167,8 +174,8 @@
       if (aRequest.target == "/readyz") {
         return ReadinessResponse(hooks.ready());
       }
-      if (aRequest.target == "/metrics") {
-        return TextResponse(200, hooks.metrics(), "text/plain; version=0.0.4");
+      if (aRequest.target == kMetrics) {
+        return MetricsResponse(hooks.metrics());
       }
       return TextResponse(404, "no such page\n");
     },
@@ -189,4 +196,18 @@
   };
 }
 
+HttpHandler
+MetricsHandler(std::function<std::string()> aMetrics)
+{
+  return {
+    [](const HttpHead&) { return kLargestAnnouncement; },
+    [metrics = std::move(aMetrics)](Request&& aRequest, CallerWatch&) {
+      return aRequest.target == kMetrics
+               ? MetricsResponse(metrics())
+               : TextResponse(404, "no such page\n");
+    },
+    [](HttpFault) { return TextResponse(400, "bad request\n"); },
+  };
+}
+
 }
--- a/src/baobab/node/attempt_runner.cpp
+++ b/src/baobab/node/attempt_runner.cpp
@@ -26,7 +26,9 @@
             Duration aLatency)
 {
   if (aResult.held > Duration::zero()) {
-    aTarget.load.MeasuredWay(aLatency - aResult.held);
+    const Duration way = aLatency - aResult.held;
+    aTarget.load.MeasuredWay(way);
+    aCall.stats->hops.Record(way);
     aCall.rule->state->Observe(aResult.work, aBodyBytes);
   }
   aTarget.breaker.Succeeded();
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -314,6 +314,7 @@
                        TimePoint aArrived,
                        TimePoint aDeadline)
 {
+  ++this->stats.refusals[aRefusal.reason];
   LogRefused(this->Logged(aCall, aArrived, aDeadline),
              aRefusal,
              this->admission.Report());
@@ -471,6 +472,8 @@
   const CallId& id = aCall.id;
   const TimePoint now = Now();
   const Duration ran = now - aRun.began;
+  this->stats.queueWaits.Record(aRun.began - aRun.arrived);
+  this->stats.targetTimes.Record(ran);
   if (aCall.traced || now > aRun.objective) {
     LogFinished(this->Logged(aCall, aRun.arrived, aRun.deadline),
                 aResponse.status,
@@ -499,6 +502,7 @@
                  UnknownCause aCause,
                  const Running& aRun)
 {
+  ++this->stats.lost;
   LogLost(this->Logged(aCall, aRun.arrived, aRun.deadline),
           aCause,
           aRun.began,
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -145,22 +145,27 @@
   Result<Done> Open()
   {
     auto& context = this->control.Context();
-    auto peerSocket = Listen(context, this->settings.peers);
-    if (!Succeeded(peerSocket)) {
-      return Failure(peerSocket);
-    }
-    this->peerAcceptor.emplace(std::move(Value(peerSocket)));
-    auto adminSocket = Listen(context, this->settings.admin);
-    if (!Succeeded(adminSocket)) {
-      return Failure(adminSocket);
-    }
-    this->adminAcceptor.emplace(std::move(Value(adminSocket)));
-    if (this->settings.readiness) {
-      auto socket = Listen(context, *this->settings.readiness);
+    const auto open = [&](const std::optional<Endpoint>& aAddress,
+                          std::optional<Tcp::acceptor>& aAcceptor) {
+      if (!aAddress) {
+        return Result<Done>(Done{});
+      }
+      auto socket = Listen(context, *aAddress);
       if (!Succeeded(socket)) {
-        return Failure(socket);
+        return Result<Done>(Failure(socket));
+      }
+      aAcceptor.emplace(std::move(Value(socket)));
+      return Result<Done>(Done{});
+    };
+    const std::pair<std::optional<Endpoint>, std::optional<Tcp::acceptor>*>
+      sockets[] = { { this->settings.peers, &this->peerAcceptor },
+                    { this->settings.admin, &this->adminAcceptor },
+                    { this->settings.readiness, &this->readinessAcceptor },
+                    { this->settings.metrics, &this->metricsAcceptor } };
+    for (const auto& [address, acceptor] : sockets) {
+      if (auto opened = open(address, *acceptor); !Succeeded(opened)) {
+        return opened;
       }
-      this->readinessAcceptor.emplace(std::move(Value(socket)));
     }
     if (auto opened = this->gossip.Open(); !Succeeded(opened)) {
       return opened;
@@ -203,6 +208,7 @@
                 this->adminHandler,
                 this->adminGate);
     });
+    this->metricsHandler = MetricsHandler([this] { return this->Metrics(); });
     this->readinessHandler = ReadinessHandler([this] { return this->Ready(); });
     if (this->readinessAcceptor) {
       Spawn([this] {
@@ -212,6 +218,14 @@
                   this->readinessGate);
       });
     }
+    if (this->metricsAcceptor) {
+      Spawn([this] {
+        ServeHttp(*this->metricsAcceptor,
+                  this->limits,
+                  this->metricsHandler,
+                  this->metricsGate);
+      });
+    }
     Spawn([this] { this->reloader.Run(); });
     Spawn([this] { this->FindTarget(); });
     Spawn([this] { this->calls.RunLoadProbes(); });
@@ -229,7 +243,9 @@
     TimePoint nextRefresh = Now();
     TimePoint nextReport = Now();
     while (true) {
-      boost::this_fiber::sleep_for(kTickPeriod);
+      const TimePoint due = Now() + kTickPeriod;
+      boost::this_fiber::sleep_until(due);
+      this->timerDelays.Record(Now() - due);
       this->calls.Tick();
       this->SpreadTargetState();
       const TimePoint now = Now();
@@ -350,6 +366,7 @@
     for (const auto& [service, values] : stats) {
       page.AddService(service, values);
     }
+    page.AddTarget(this->calls.Gate().Service(), this->calls.Stats());
     AddControlMetrics(page,
                       { this->config.Generation(),
                         this->config.StoreCalls() + this->gossip.StoreCalls() +
@@ -358,7 +375,9 @@
                         this->quarantine.Size(),
                         this->gossip.Counts(),
                         this->calls.Gate().Report(),
-                        this->membership });
+                        this->membership,
+                        this->ingress.Accepted(),
+                        this->timerDelays });
     this->routes.Read(
       [&](const RouteTable& aTable) { AddRouteMetrics(page, aTable); });
     return page.Text();
@@ -414,9 +433,13 @@
   HttpHandler readinessHandler;
   HttpGate readinessGate{ kAdminConnections };
   std::optional<Tcp::acceptor> readinessAcceptor;
+  HttpHandler metricsHandler;
+  HttpGate metricsGate{ kAdminConnections };
+  std::optional<Tcp::acceptor> metricsAcceptor;
   std::optional<Tcp::acceptor> peerAcceptor;
   std::optional<Tcp::acceptor> adminAcceptor;
   SettingsReloader reloader;
+  LatencyHistogram timerDelays;
   bool draining = false;
 };
 
--- a/src/baobab/node/daemon_metrics.cpp
+++ b/src/baobab/node/daemon_metrics.cpp
@@ -61,6 +61,8 @@
   add("target_queued", aFigures.target.queued);
   add("target_slots", aFigures.target.slots);
   add("target_slowness_percent", aFigures.target.slowness);
+  add("caller_connections_total", aFigures.callerConnections);
+  aPage.AddHistogram("timer_delay_seconds", "", aFigures.timerDelays);
   add("suspects", aFigures.suspects);
   add("process_cpu_seconds_total", ProcessorSeconds());
 }
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -154,11 +154,12 @@
 }
 
 Response
-Ingress::Serve(const IngressCall& aCall)
+Ingress::Serve(IngressCall& aCall)
 {
   const std::string& service = aCall.route->service->spec.name;
   aCall.route->state->retries.Earn();
-  Outcome outcome = this->Carry(aCall, this->stats[service]);
+  aCall.stats = &this->stats[service];
+  Outcome outcome = this->Carry(aCall);
   return this->Conclude(aCall, std::move(outcome), service);
 }
 
@@ -179,7 +180,7 @@
 }
 
 Outcome
-Ingress::Carry(const IngressCall& aCall, ServiceStats& aStats)
+Ingress::Carry(const IngressCall& aCall)
 {
   const ServiceSpec& spec = aCall.route->service->spec;
   CallPlan plan(
@@ -199,8 +200,8 @@
     if (insists || tried.size() >= kMostHandBacks) {
       chosen.alternative = Duration::zero();
     }
-    ++aStats.attempts;
-    aStats.spilled += chosen.tier == Tier::OtherRegion ? 1 : 0;
+    ++aCall.stats->attempts;
+    aCall.stats->spilled += chosen.tier == Tier::OtherRegion ? 1 : 0;
     tried.push_back(chosen.target->endpoint);
     Outcome outcome = aCall.terms.idempotent && spec.hedge.enabled
                         ? RunHedged(this->runner, aCall, chosen, tried)
@@ -245,7 +246,7 @@
   end.time = aCall.terms.deadline - aCall.began;
   end.generation = this->routes.Read(
     [](const RouteTable& aTable) { return aTable.generation; });
-  this->stats[aService].Record(end.callClass, latency);
+  this->stats[aService].Record(end.idempotent, end.callClass, latency);
   Response response = std::visit(
     Overloaded{
       [](Answered& aAnswered) { return std::move(aAnswered.response); },
--- a/src/baobab/node/ingress_pool.cpp
+++ b/src/baobab/node/ingress_pool.cpp
@@ -50,6 +50,18 @@
   return future.get();
 }
 
+/// Adds up a figure of all workers.
+template<class Workers, class F>
+auto
+SumOver(const Workers& aWorkers, F aFigure)
+{
+  decltype(aFigure(*aWorkers.front())) sum{};
+  for (const auto& worker : aWorkers) {
+    sum += Ask(*worker, aFigure);
+  }
+  return sum;
+}
+
 }
 
 IngressPool::IngressPool(const RcuCell<RouteTable>& aRoutes,
@@ -119,13 +131,17 @@
 std::size_t
 IngressPool::Busy()
 {
-  std::size_t busy = 0;
-  for (const auto& worker : this->workers) {
-    busy += Ask(*worker, [](const IngressWorker& aWorker) {
-      return aWorker.gate.Busy();
-    });
-  }
-  return busy;
+  return SumOver(this->workers, [](const IngressWorker& aWorker) {
+    return aWorker.gate.Busy();
+  });
+}
+
+std::uint64_t
+IngressPool::Accepted()
+{
+  return SumOver(this->workers, [](const IngressWorker& aWorker) {
+    return aWorker.gate.accepted;
+  });
 }
 
 void
--- a/src/baobab/node/metrics.cpp
+++ b/src/baobab/node/metrics.cpp
@@ -5,6 +5,8 @@
 namespace baobab {
 namespace {
 
+constexpr std::string_view kPrefix = "baobab_";
+
 std::string
 Number(double aValue)
 {
@@ -13,6 +15,20 @@
   return text;
 }
 
+std::string
+Label(std::string_view aName, std::string_view aValue)
+{
+  return std::string(aName) + "=\"" + std::string(aValue) + "\"";
+}
+
+std::string
+Line(const std::string& aName, const std::string& aLabels, double aValue)
+{
+  return std::string(kPrefix) + aName +
+         (aLabels.empty() ? "" : "{" + aLabels + "}") + " " + Number(aValue) +
+         "\n";
+}
+
 }
 
 void
@@ -20,34 +36,86 @@
                  std::string_view aLabels,
                  double aValue)
 {
-  this->text += "baobab_" + std::string(aName);
-  if (!aLabels.empty()) {
-    this->text += "{" + std::string(aLabels) + "}";
+  const bool counts = aName.ends_with("_total");
+  this->FamilyOf(aName, counts ? "counter" : "gauge").lines +=
+    Line(std::string(aName), std::string(aLabels), aValue);
+}
+
+void
+MetricsPage::AddHistogram(std::string_view aName,
+                          std::string_view aLabels,
+                          const LatencyHistogram& aHistogram)
+{
+  const std::string name(aName);
+  const std::string labels(aLabels);
+  const std::string separator = labels.empty() ? "" : ",";
+  std::string& lines = this->FamilyOf(aName, "histogram").lines;
+  const auto bucket = [&](const std::string& aBound, double aCount) {
+    lines += Line(
+      name + "_bucket", labels + separator + Label("le", aBound), aCount);
+  };
+  for (std::size_t i = 0; i < LatencyHistogram::kBounds.size(); ++i) {
+    bucket(Number(LatencyHistogram::kBounds[i]),
+           static_cast<double>(aHistogram.Buckets()[i]));
   }
-  this->text += " " + Number(aValue) + "\n";
+  bucket("+Inf", aHistogram.Count());
+  lines += Line(name + "_sum", labels, aHistogram.Sum());
+  lines += Line(name + "_count", labels, aHistogram.Count());
 }
 
 void
 MetricsPage::AddService(std::string_view aService, const ServiceStats& aStats)
 {
-  const std::string label = "service=\"" + std::string(aService) + "\"";
+  const std::string service = Label("service", aService);
   for (std::size_t i = 0; i < kCallClasses; ++i) {
+    const auto name = Name(static_cast<CallClass>(i));
     this->Add("calls_total",
-              label + ",class=\"" +
-                std::string(Name(static_cast<CallClass>(i))) + "\"",
+              service + "," + Label("class", name),
               static_cast<double>(aStats.calls[i]));
   }
-  for (std::size_t i = 0; i < ServiceStats::kBounds.size(); ++i) {
-    this->Add("call_seconds_bucket",
-              label + ",le=\"" + Number(ServiceStats::kBounds[i]) + "\"",
-              static_cast<double>(aStats.buckets[i]));
+  for (const auto& [kind, histogram] : aStats.latencies) {
+    const auto& [idempotent, callClass] = kind;
+    this->AddHistogram(
+      "call_seconds",
+      service + "," + Label("idempotent", idempotent ? "true" : "false") + "," +
+        Label("class", Name(callClass)),
+      histogram);
   }
-  const double count = aStats.Count();
-  this->Add("call_seconds_bucket", label + ",le=\"+Inf\"", count);
-  this->Add("call_seconds_sum", label, aStats.SecondsSum());
-  this->Add("call_seconds_count", label, count);
-  this->Add("attempts_total", label, static_cast<double>(aStats.attempts));
-  this->Add("spilled_total", label, static_cast<double>(aStats.spilled));
+  this->AddHistogram("hop_seconds", service, aStats.hops);
+  this->Add("attempts_total", service, static_cast<double>(aStats.attempts));
+  this->Add("spilled_total", service, static_cast<double>(aStats.spilled));
+}
+
+void
+MetricsPage::AddTarget(std::string_view aService, const TargetStats& aStats)
+{
+  const std::string service = Label("service", aService);
+  this->AddHistogram("queue_seconds", service, aStats.queueWaits);
+  this->AddHistogram("target_seconds", service, aStats.targetTimes);
+  this->Add("lost_total", service, static_cast<double>(aStats.lost));
+  for (const auto& [reason, count] : aStats.refusals) {
+    this->Add("refusals_total",
+              service + "," + Label("reason", Name(reason)),
+              static_cast<double>(count));
+  }
+}
+
+std::string
+MetricsPage::Text() const
+{
+  std::string text;
+  for (const auto& [name, family] : this->families) {
+    text += "# TYPE " + std::string(kPrefix) + name + " " +
+            std::string(family.type) + "\n" + family.lines;
+  }
+  return text;
+}
+
+MetricsPage::Family&
+MetricsPage::FamilyOf(std::string_view aName, std::string_view aType)
+{
+  return this->families.try_emplace(std::string(aName), Family{ aType, "" })
+    .first->second;
 }
 
 void
