baobab-trace follows a request through the logs of many daemons

Joins lines by the identities of a request and of its attempts, and puts clocks in step by the times at which attempts left, arrived and ended. Tests: trace/request_way_test.

--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -59,6 +59,10 @@
   std::string region;
   /// Address from which connections are opened.
   std::uint32_t localAddress = 0;
+  /// Sequence of the next attempt. Shared by the links of a worker, so that no
+  /// two of their attempts have the same identity in the logs.
+  std::shared_ptr<std::uint64_t> nextSequence =
+    std::make_shared<std::uint64_t>(1);
 };
 
 /// Carries calls of one worker to one daemon over one connection at a time,
@@ -117,7 +121,6 @@
   const Timeouts& timeouts;
   LoadListener onLoad;
   ConnectionNumber number = 0;
-  std::uint64_t nextSequence = 1;
   std::uint64_t incarnation = 0;
   /// True if the last connection was given up because it was silent.
   bool silent = false;
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -41,7 +41,7 @@
               const CallTerms& aTerms,
               Cancellation* aCancellation)
 {
-  const CallId id{ this->identity.sender, this->nextSequence++ };
+  const CallId id{ this->identity.sender, (*this->identity.nextSequence)++ };
   Pending pending{ CallAttempt(id, aTerms.idempotent, aTerms.deadline),
                    aRequest,
                    aTerms };
--- /dev/null
+++ b/src/baobab/trace/request_way.cpp
@@ -0,0 +1,169 @@
+#include "baobab/trace/request_way.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/json/serialize.hpp>
+#include <cstdio>
+#include <set>
+
+namespace baobab {
+namespace {
+
+using Micros = std::chrono::microseconds;
+
+/// Members of a line that its place in the text tells already.
+bool
+IsImplied(std::string_view aField)
+{
+  constexpr std::array<std::string_view, 5> kImplied = {
+    "time", "level", "channel", "event", "request"
+  };
+  return std::ranges::find(kImplied, aField) != kImplied.end();
+}
+
+/// Identity of the request that an id means.
+std::string
+RequestOf(const std::vector<LogRecord>& aRecords, std::string_view aId)
+{
+  const auto found =
+    std::ranges::find_if(aRecords, [&](const LogRecord& aRecord) {
+      return aRecord.event == "call_attempt" && aRecord.Text("call") == aId;
+    });
+  return std::string(found == aRecords.end() ? aId : found->Text("request"));
+}
+
+std::set<std::string, std::less<>>
+CallsOf(const std::vector<LogRecord>& aRecords, std::string_view aRequest)
+{
+  std::set<std::string, std::less<>> calls;
+  for (const LogRecord& record : aRecords) {
+    if (record.event == "call_attempt" && record.Text("request") == aRequest) {
+      calls.emplace(record.Text("call"));
+    }
+  }
+  return calls;
+}
+
+/// Time of a step: attempts are written when the call is over, and stand where
+/// they began.
+LogTime
+TimeOf(const LogRecord& aRecord, const LogRecord* aEnd)
+{
+  if (aRecord.event != "call_attempt" || aEnd == nullptr) {
+    return aRecord.time;
+  }
+  return aEnd->time - aEnd->Time("took_ms").value_or(Micros(0)) +
+         aRecord.Time("began_ms").value_or(Micros(0));
+}
+
+/// A value without quotes and exponents where that is unambiguous.
+std::string
+ValueText(const boost::json::value& aValue)
+{
+  if (aValue.is_double()) {
+    char number[32];
+    std::snprintf(number, sizeof number, "%.6g", aValue.as_double());
+    return number;
+  }
+  const auto* text = aValue.if_string();
+  const bool plain = text != nullptr && !text->empty() &&
+                     text->find(' ') == boost::json::string::npos;
+  return plain ? std::string(text->data(), text->size())
+               : boost::json::serialize(aValue);
+}
+
+std::string
+FieldsText(const LogRecord& aRecord)
+{
+  std::string text;
+  for (const auto& field : aRecord.fields) {
+    const std::string_view name(field.key().data(), field.key().size());
+    if (IsImplied(name)) {
+      continue;
+    }
+    text += " " + std::string(name) + "=" + ValueText(field.value());
+  }
+  return text;
+}
+
+}
+
+std::vector<WayStep>
+WayOf(const std::vector<LogRecord>& aRecords, std::string_view aId)
+{
+  const std::string request = RequestOf(aRecords, aId);
+  const auto calls = CallsOf(aRecords, request);
+  const auto concerns = [&](const LogRecord& aRecord) {
+    return aRecord.Text("request") == request ||
+           calls.contains(aRecord.Text("call"));
+  };
+  const auto end =
+    std::ranges::find_if(aRecords, [&](const LogRecord& aRecord) {
+      return aRecord.event == "call_ended" &&
+             aRecord.Text("request") == request;
+    });
+  const LogRecord* ended = end == aRecords.end() ? nullptr : &*end;
+  const ClockOffsets offsets = EstimateOffsets(aRecords);
+  const auto offsetOf = [&](const LogRecord& aRecord) {
+    const auto found = ended == nullptr
+                         ? offsets.end()
+                         : offsets.find({ ended->source, aRecord.source });
+    return found == offsets.end() ? Micros(0) : found->second;
+  };
+  std::vector<std::pair<LogTime, const LogRecord*>> steps;
+  for (const LogRecord& record : aRecords) {
+    if (concerns(record)) {
+      steps.emplace_back(TimeOf(record, ended) - offsetOf(record), &record);
+    }
+  }
+  std::ranges::stable_sort(
+    steps, {}, [](const auto& aStep) { return aStep.first; });
+  std::vector<WayStep> way;
+  for (const auto& [time, record] : steps) {
+    way.push_back({ time - steps.front().first, record });
+  }
+  return way;
+}
+
+std::string
+WayText(const std::vector<WayStep>& aSteps)
+{
+  std::string text;
+  for (const WayStep& step : aSteps) {
+    char time[32];
+    std::snprintf(
+      time,
+      sizeof time,
+      "%+11.3f ms  ",
+      std::chrono::duration<double, std::milli>(step.after).count());
+    text += time + step.record->source + "  " + step.record->event +
+            FieldsText(*step.record) + "\n";
+  }
+  return text;
+}
+
+std::string
+BadRequestsText(const std::vector<LogRecord>& aRecords, std::size_t aMost)
+{
+  std::vector<const LogRecord*> bad;
+  for (const LogRecord& record : aRecords) {
+    if (record.event == "call_ended" && record.Text("class") != "good") {
+      bad.push_back(&record);
+    }
+  }
+  std::ranges::stable_sort(
+    bad, {}, [](const LogRecord* aRecord) { return aRecord->time; });
+  const std::size_t left = bad.size() > aMost ? bad.size() - aMost : 0;
+  std::string text;
+  for (std::size_t i = left; i < bad.size(); ++i) {
+    const LogRecord& record = *bad[i];
+    text += std::string(record.Text("time")) + "  " + record.source + "  " +
+            std::string(record.Text("request")) + "  " +
+            std::string(record.Text("class")) + "  " +
+            std::string(record.Text("service")) + "  " +
+            std::string(record.Text("detail")) + "\n";
+  }
+  return text;
+}
+
+}
--- /dev/null
+++ b/src/baobab/trace/request_way_test.cpp
@@ -0,0 +1,85 @@
+#include "baobab/trace/request_way.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace baobab {
+namespace {
+
+/// Lines of a run with two daemons. The target's clock is 5 s ahead.
+constexpr std::string_view kCallerLog =
+  R"({"time":"2026-12-04T10:00:00.120000Z","level":"info","channel":"ingress","event":"call_attempt","request":"r1","call":"c-1","target":"10.0.0.2:7100","began_ms":1.000,"took_ms":4.000,"outcome":"not-run","detail":"overloaded: the queue is full"}
+{"time":"2026-12-04T10:00:00.120010Z","level":"info","channel":"ingress","event":"call_attempt","request":"r1","call":"c-2","target":"10.0.0.2:7100","began_ms":6.000,"took_ms":114.000,"outcome":"answered","detail":"200"}
+{"time":"2026-12-04T10:00:00.120000Z","level":"info","channel":"ingress","event":"call_ended","request":"r1","service":"quoting","class":"late","status":200,"detail":"","took_ms":120.000}
+this is not a line of the log
+)";
+
+constexpr std::string_view kTargetLog =
+  R"({"time":"2026-12-04T10:00:05.003000Z","level":"info","channel":"admission","event":"call_refused","request":"r1","call":"c-1","reason":"overloaded","waited_ms":0.000}
+{"time":"2026-12-04T10:00:05.118000Z","level":"info","channel":"admission","event":"call_finished","request":"r1","call":"c-2","status":200,"waited_ms":10.000,"ran_ms":100.000}
+{"time":"2026-12-04T10:00:05.119000Z","level":"info","channel":"admission","event":"call_finished","request":"r9","call":"c-9","status":200,"waited_ms":10.000,"ran_ms":100.000}
+)";
+
+std::vector<LogRecord>
+Records()
+{
+  auto records = ParseLog(kCallerLog, "caller");
+  const auto target = ParseLog(kTargetLog, "target");
+  records.insert(records.end(), target.begin(), target.end());
+  return records;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(request_way)
+
+BOOST_AUTO_TEST_CASE(lines_are_joined_and_stand_in_the_order_of_their_times)
+{
+  const auto records = Records();
+  const auto way = WayOf(records, "r1");
+  BOOST_REQUIRE(way.size() == 5U);
+  const auto eventAt = [&](std::size_t aIndex) {
+    return way[aIndex].record->event;
+  };
+  BOOST_TEST(eventAt(0) == "call_attempt");
+  BOOST_TEST(eventAt(1) == "call_refused");
+  BOOST_TEST(eventAt(2) == "call_attempt");
+  BOOST_TEST(eventAt(3) == "call_finished");
+  BOOST_TEST(eventAt(4) == "call_ended");
+  BOOST_TEST((way[4].after == std::chrono::milliseconds(119)));
+}
+
+BOOST_AUTO_TEST_CASE(clocks_that_differ_are_put_in_step)
+{
+  const auto offsets = EstimateOffsets(Records());
+  const auto offset = offsets.at({ "caller", "target" });
+  BOOST_TEST((offset > std::chrono::milliseconds(4995)));
+  BOOST_TEST((offset < std::chrono::milliseconds(5005)));
+}
+
+BOOST_AUTO_TEST_CASE(an_attempt_leads_to_its_request)
+{
+  const auto records = Records();
+  BOOST_TEST(WayOf(records, "c-2").size() == 5U);
+  BOOST_TEST(WayOf(records, "unknown").empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_collected_log_names_its_daemons)
+{
+  const auto record = ParseLogLine(
+    R"(  6.31 host-a {"time":"2026-12-04T10:00:00.1Z","event":"stopped"})",
+    "file");
+  BOOST_REQUIRE(record.has_value());
+  BOOST_TEST(record->source == "host-a");
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_ended_badly_are_listed)
+{
+  const auto records = Records();
+  BOOST_TEST(BadRequestsText(records, 10).find("r1  late  quoting") !=
+             std::string::npos);
+  BOOST_TEST(BadRequestsText(records, 0).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
