--- a/cmake/baobab_options.cmake
+++ b/cmake/baobab_options.cmake
@@ -7,6 +7,7 @@
   set(CMAKE_BUILD_TYPE RelWithDebInfo)
 endif()
 set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O2 -g1 -DNDEBUG")
+option(BAOBAB_FUZZ "Build the fuzzers, with Clang" OFF)
 option(BAOBAB_SANITIZE "Build with AddressSanitizer and UBSan" OFF)
 
 # Help texts and logs name sources relative to the tree.
@@ -16,7 +17,13 @@
   set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O1 -g1")
   # The compiler's own pages name this warning unreliable with sanitizers; it
   # is wrong about Boost.Optional.
-  add_compile_options(-Wno-maybe-uninitialized)
+  if(CMAKE_CXX_COMPILER_ID STREQUAL GNU)
+    add_compile_options(-Wno-maybe-uninitialized)
+  endif()
+  if(BAOBAB_FUZZ)
+    # Coverage of the libraries steers the fuzzer.
+    add_compile_options(-fsanitize=fuzzer-no-link)
+  endif()
   add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=all
                       -fno-omit-frame-pointer)
   add_link_options(-fsanitize=address,undefined)
--- a/include/baobab/net/log_event.hpp
+++ b/include/baobab/net/log_event.hpp
@@ -48,6 +48,14 @@
   std::array<LogField, N> fields;
 };
 
+template<std::size_t N>
+LogEvent(std::string_view,
+         std::string_view,
+         LogLevel,
+         LogKeep,
+         std::string_view,
+         std::array<LogField, N>) -> LogEvent<N>;
+
 /// Returns the name of a level, as in log lines.
 constexpr std::string_view
 Name(LogLevel aLevel)
--- a/include/baobab/net/socket.hpp
+++ b/include/baobab/net/socket.hpp
@@ -36,6 +36,11 @@
                             Duration aTimeout,
                             std::uint32_t aLocalAddress = 0);
 
+/// Makes a connection fail within a few seconds after the other end has gone
+/// or no longer knows of it. Without this, one that waits for an answer, or
+/// idles in a pool, may stay silent for good.
+void DetectSilence(Tcp::socket& aSocket);
+
 /// True if the other end has closed the connection, or it has failed.
 bool HasEnded(Tcp::socket& aSocket);
 
--- a/src/baobab/core/service_test.cpp
+++ b/src/baobab/core/service_test.cpp
@@ -63,6 +63,14 @@
   BOOST_TEST(Failure(parsed).remedy.find("deadline_ms") != std::string::npos);
 }
 
+/// Found by fuzzing: builds with assertions ended at this file.
+BOOST_AUTO_TEST_CASE(a_broken_table_header_is_a_syntax_error)
+{
+  const auto parsed = ParseService("[!", "broken.toml");
+  BOOST_REQUIRE(!Succeeded(parsed));
+  BOOST_TEST((Failure(parsed).kind == ErrorKind::Syntax));
+}
+
 BOOST_AUTO_TEST_CASE(refuses_wrong_types_ranges_and_missing_keys)
 {
   const auto kind = [](std::string_view aText) {
--- a/src/baobab/core/toml_entry.cpp
+++ b/src/baobab/core/toml_entry.cpp
@@ -1,7 +1,12 @@
 #include "baobab/core/toml_entry.hpp"
 
+#include "toml_guard.hpp"
+
 #include <algorithm>
+#include <functional>
 #include <optional>
+// Bad input must end in an error; the library's assertions end the process.
+#define TOML_ASSERT(aCondition) static_cast<void>(0)
 #include <toml++/toml.h>
 
 namespace baobab {
@@ -14,6 +19,53 @@
          std::to_string(aPosition.column);
 }
 
+toml::source_position
+PositionOf(std::string_view aText, std::size_t aPlace)
+{
+  const std::string_view before = aText.substr(0, aPlace);
+  const auto lines = std::ranges::count(before, '\n');
+  const auto start = before.rfind('\n') + 1;
+  return { static_cast<toml::source_index>(lines + 1),
+           static_cast<toml::source_index>(aPlace - start + 1) };
+}
+
+Error
+SyntaxError(const toml::parse_error& aError, std::string_view aFile)
+{
+  return { ErrorKind::Syntax,
+           PlaceOf(aFile, aError.source().begin) + ": " +
+             std::string(aError.description()),
+           "correct the TOML syntax at this place" };
+}
+
+/// Refuses characters beyond ASCII outside of strings and comments, where the
+/// library's behaviour is undefined. Which quotes open a string is certain
+/// only in a valid document, so that is checked first, without them.
+std::optional<Error>
+CheckBeyondAscii(std::string_view aText, std::string_view aFile)
+{
+  const auto isAscii = [](char aByte) {
+    constexpr unsigned char kLastAscii = 0x7f;
+    return static_cast<unsigned char>(aByte) <= kLastAscii;
+  };
+  if (std::ranges::all_of(aText, isAscii)) {
+    return std::nullopt;
+  }
+  std::string masked(aText);
+  std::ranges::replace_if(masked, std::not_fn(isAscii), 'x');
+  const toml::parse_result parsed = toml::parse(masked, aFile);
+  if (!parsed) {
+    return SyntaxError(parsed.error(), aFile);
+  }
+  if (const auto stray = FindStrayByte(aText)) {
+    return Error{ ErrorKind::Syntax,
+                  PlaceOf(aFile, PositionOf(aText, *stray)) +
+                    ": a character beyond ASCII stands outside of a string",
+                  "put it into quotes or leave it out" };
+  }
+  return std::nullopt;
+}
+
 std::optional<TomlValue>
 ReadList(const toml::array& aArray)
 {
@@ -125,13 +177,12 @@
 Result<std::vector<TomlEntry>>
 ReadToml(std::string_view aText, std::string_view aFile)
 {
+  if (auto error = CheckBeyondAscii(aText, aFile)) {
+    return *error;
+  }
   const toml::parse_result parsed = toml::parse(aText, aFile);
   if (!parsed) {
-    const auto& error = parsed.error();
-    return Error{ ErrorKind::Syntax,
-                  PlaceOf(aFile, error.source().begin) + ": " +
-                    std::string(error.description()),
-                  "correct the TOML syntax at this place" };
+    return SyntaxError(parsed.error(), aFile);
   }
   return Flattener(aFile).Read(parsed.table());
 }
--- a/src/baobab/net/frame_connection.cpp
+++ b/src/baobab/net/frame_connection.cpp
@@ -14,7 +14,12 @@
 
 namespace asio = boost::asio;
 
-constexpr std::size_t kReadBytes = 16384;
+constexpr std::size_t kReadBytes = 4096;
+
+/// Largest buffer that a connection keeps while it has nothing to hold. A
+/// daemon has a connection to each daemon that it calls, and one large answer
+/// would otherwise stay in the memory of each.
+constexpr std::size_t kKeptBytes = 8192;
 
 /// Unsent bytes at which a connection counts as lost.
 constexpr std::size_t kLargestBacklog = 128U << 20U;
@@ -30,6 +35,17 @@
          (heartbeat != nullptr && !heartbeat->reply);
 }
 
+/// Gives back the memory of a buffer that is not needed and was large.
+template<class Buffer>
+void
+Release(Buffer& aBuffer)
+{
+  aBuffer.clear();
+  if (aBuffer.capacity() * sizeof(aBuffer[0]) > kKeptBytes) {
+    Buffer().swap(aBuffer);
+  }
+}
+
 }
 
 FrameConnection::FrameConnection(Tcp::socket aSocket)
@@ -65,7 +81,7 @@
 void
 FrameConnection::Flush()
 {
-  this->writing.clear();
+  Release(this->writing);
   if (!this->IsOpen() || this->outgoing.empty()) {
     this->flushing = false;
     return;
@@ -112,6 +128,11 @@
         return this->TakeFrame(Value(length));
       }
     }
+    if (available == 0 && this->incoming.size() > kKeptBytes) {
+      std::vector<std::uint8_t>(kReadBytes).swap(this->incoming);
+      this->readPosition = 0;
+      this->filled = 0;
+    }
     if (this->readPosition > 0) {
       std::memmove(this->incoming.data(),
                    this->incoming.data() + this->readPosition,
@@ -146,6 +167,7 @@
   this->readPosition += kFrameHeaderBytes + aLength;
   auto message = DecodeFrame(
     { reinterpret_cast<const std::uint8_t*>(this->frame.data()), aLength });
+  Release(this->frame);
   if (!Succeeded(message)) {
     this->Close();
   }
--- a/src/baobab/net/http_client.cpp
+++ b/src/baobab/net/http_client.cpp
@@ -111,6 +111,10 @@
       return this->Fail(read.error);
     }
     this->keepAlive = parser.keep_alive();
+    if (this->buffer.size() == 0) {
+      // A pooled connection must not keep the memory of a large answer.
+      this->buffer.shrink_to_fit();
+    }
     http::response<http::string_body> message = parser.release();
     this->keepTime = KeepTimeOf(message);
     Response response{ message.result_int(), EndToEndHeaders(message), "" };
@@ -153,6 +157,7 @@
   if (!Succeeded(socket)) {
     return Failure(socket);
   }
+  DetectSilence(Value(socket));
   return std::make_unique<BeastClient>(std::move(Value(socket)),
                                        ToString(aEndpoint));
 }
--- a/src/baobab/net/socket.cpp
+++ b/src/baobab/net/socket.cpp
@@ -3,6 +3,7 @@
 #include "baobab/net/timeout.hpp"
 
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace baobab {
@@ -17,6 +18,10 @@
 using BindAddressNoPort =
   asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
 
+template<int Name>
+using TcpNumber =
+  asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+
 constexpr int kBacklog = 4096;
 
 /// Looks for a byte to read without taking it.
@@ -91,6 +96,23 @@
   return socket;
 }
 
+void
+DetectSilence(Tcp::socket& aSocket)
+{
+  // The operating system gives up after two unanswered probes.
+  constexpr int kIdleSeconds = 1;
+  constexpr int kProbeSeconds = 1;
+  constexpr int kProbes = 2;
+  constexpr int kUnacknowledgedMillis = 3000;
+  boost::system::error_code ignored;
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  aSocket.set_option(TcpNumber<TCP_KEEPIDLE>(kIdleSeconds), ignored);
+  aSocket.set_option(TcpNumber<TCP_KEEPINTVL>(kProbeSeconds), ignored);
+  aSocket.set_option(TcpNumber<TCP_KEEPCNT>(kProbes), ignored);
+  aSocket.set_option(TcpNumber<TCP_USER_TIMEOUT>(kUnacknowledgedMillis),
+                     ignored);
+}
+
 bool
 HasEnded(Tcp::socket& aSocket)
 {
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -19,6 +19,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
+#include <csignal>
 
 namespace baobab {
 namespace {
@@ -68,6 +69,18 @@
   return options;
 }
 
+/// Lets the signals come that were held back during the start.
+void
+AllowSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int number : { SIGTERM, SIGINT, SIGHUP }) {
+    sigaddset(&signals, number);
+  }
+  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 class Daemon
 {
 public:
@@ -137,6 +150,7 @@
     });
     boost::asio::signal_set hangup(this->control.Context(), SIGHUP);
     this->AwaitReload(hangup);
+    AllowSignals();
     this->control.RunHere([this] { this->StartControl(); });
     return Done{};
   }
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -20,7 +20,6 @@
 
 namespace asio = boost::asio;
 
-constexpr std::string_view kChannel = "gossip";
 constexpr std::string_view kSeedRole = "seed-writer";
 
 constexpr Duration kTimerPeriod = 50ms;
--- a/src/baobab/node/status_agent.cpp
+++ b/src/baobab/node/status_agent.cpp
@@ -14,7 +14,6 @@
 namespace baobab {
 namespace {
 
-constexpr std::string_view kChannel = "status";
 constexpr std::string_view kAggregatorRole = "status-aggregator";
 
 /// Shortest time in which reports are collected before they are stored
--- a/src/bin/daemon_program.cpp
+++ b/src/bin/daemon_program.cpp
@@ -55,6 +55,19 @@
             aSettings.logLevel });
 }
 
+/// Holds signals back until the daemon handles them; a shutdown that comes
+/// during the start is then a graceful one as well.
+void
+HoldSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int number : { SIGTERM, SIGINT, SIGHUP }) {
+    sigaddset(&signals, number);
+  }
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 int
 Run(const Platform& aPlatform)
 {
@@ -90,6 +103,7 @@
 int
 DaemonProgram(int aCount, char** aArguments, const Platform& aPlatform)
 {
+  HoldSignals();
   ParseCommandLine(kUsage, BAOBAB_VERSION, aCount, aArguments);
   return Run(aPlatform);
 }
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -7,6 +7,10 @@
 from fleet import http_call
 
 
+# Time in which a process must have reached its main function.
+LOADER_SECONDS = 10
+
+
 def link_fault(host, text):
     http_call(host.address, 7102, "POST", "/faults", text)
 
@@ -53,6 +57,9 @@
 
 def restart_daemon(fleet, host, draw, seconds):
     """A graceful shutdown: it must end by itself with code 0."""
+    end = time.monotonic() + LOADER_SECONDS
+    while not host.daemon.handles(signal.SIGTERM) and time.monotonic() < end:
+        time.sleep(0.005)
     code = host.daemon.end(signal.SIGTERM)
     host.daemon.start()
     if code != 0:
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -62,6 +62,18 @@
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    def handles(self, number):
+        """True once the process blocks or handles a signal; before its main
+        function runs it cannot."""
+        try:
+            lines = pathlib.Path(
+                f"/proc/{self.process.pid}/status").read_text().splitlines()
+        except OSError:
+            return True
+        masks = [int(line.split()[1], 16) for line in lines
+                 if line.startswith(("SigBlk", "SigCgt"))]
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
     def end(self, number=signal.SIGKILL, timeout=40):
         """Ends the process; returns its exit code, None if it did not end."""
         self.send(number)
