--- /dev/null
+++ b/src/baobab/net/http_server_test.cpp
@@ -0,0 +1,149 @@
+#include "baobab/net/http_server.hpp"
+
+#include "baobab/net/clock.hpp"
+#include "baobab/net/signal.hpp"
+#include "testing/on_fiber.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace baobab {
+namespace {
+
+/// A server whose answers the test decides.
+struct TestServer
+{
+  HttpHandler handler{
+    [](const HttpHead&) { return std::size_t{ 1024 }; },
+    [](Request&&, CallerWatch&) { return TextResponse(200, "ok"); },
+    [](HttpFault) { return TextResponse(400, "fault"); },
+  };
+  HttpLimits limits;
+  HttpGate gate{ 16 };
+
+  void Run(const std::function<void(Tcp::socket&)>& aCaller)
+  {
+    OnFiber([&](boost::asio::io_context& aContext) {
+      auto acceptor = Listen(aContext, { 0x7f000001, 0 });
+      BOOST_TEST(Succeeded(acceptor));
+      const Endpoint address{ 0x7f000001,
+                              Value(acceptor).local_endpoint().port() };
+      boost::fibers::fiber server([&] {
+        ServeHttp(Value(acceptor), this->limits, this->handler, this->gate);
+      });
+      auto caller = Connect(aContext, address, 1s);
+      BOOST_TEST(Succeeded(caller));
+      aCaller(Value(caller));
+      boost::system::error_code ignored;
+      Value(caller).close(ignored);
+      Value(acceptor).close();
+      server.join();
+      while (this->gate.Open() > 0) {
+        boost::this_fiber::sleep_for(1ms);
+      }
+    });
+  }
+};
+
+void
+SendText(Tcp::socket& aSocket, const std::string& aText)
+{
+  Await([&](auto aDone) {
+    boost::asio::async_write(aSocket, boost::asio::buffer(aText), aDone);
+  });
+}
+
+/// Reads until the other end closes the connection.
+std::string
+ReadAll(Tcp::socket& aSocket)
+{
+  std::string text;
+  char bytes[4096];
+  while (true) {
+    const IoResult read = Await([&](auto aDone) {
+      aSocket.async_read_some(boost::asio::buffer(bytes), aDone);
+    });
+    if (!read) {
+      return text;
+    }
+    text.append(bytes, read.bytes);
+  }
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(http_server)
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_is_noticed_during_its_request)
+{
+  TestServer server;
+  Signal gone;
+  bool noticed = false;
+  server.handler.answer = [&](Request&&, CallerWatch& aCaller) {
+    aCaller.OnGone([&] { gone.Notify(); });
+    noticed = gone.WaitUntil(Now() + 5s) && aCaller.Gone();
+    return TextResponse(200, "too late");
+  };
+  server.Run([&](Tcp::socket& aCaller) {
+    SendText(aCaller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    boost::this_fiber::sleep_for(20ms);
+    aCaller.close();
+    while (server.gate.Busy() > 0) {
+      boost::this_fiber::sleep_for(1ms);
+    }
+  });
+  BOOST_TEST(noticed);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_takes_too_long_is_told_so)
+{
+  TestServer server;
+  server.limits.headerTime = 100ms;
+  std::optional<HttpFault> fault;
+  server.handler.refuse = [&](HttpFault aFault) {
+    fault = aFault;
+    return TextResponse(408, "slow");
+  };
+  server.Run([&](Tcp::socket& aCaller) {
+    SendText(aCaller, "GET / HTTP/1.1\r\nHo");
+    BOOST_TEST(ReadAll(aCaller).starts_with("HTTP/1.1 408"));
+  });
+  BOOST_TEST((fault == HttpFault::TooSlow));
+}
+
+/// Keep-alive ends, yet a request that was read is answered.
+BOOST_AUTO_TEST_CASE(a_shutdown_answers_what_was_read_and_closes_the_rest)
+{
+  TestServer server;
+  server.handler.answer = [&](Request&&, CallerWatch&) {
+    server.gate.StopKeepAlive();
+    return TextResponse(200, "whole");
+  };
+  server.Run([&](Tcp::socket& aCaller) {
+    SendText(aCaller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string answer = ReadAll(aCaller);
+    BOOST_TEST(answer.ends_with("whole"));
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_body_over_its_limit_is_refused_before_it_is_read)
+{
+  TestServer server;
+  std::optional<HttpFault> fault;
+  server.handler.refuse = [&](HttpFault aFault) {
+    fault = aFault;
+    return TextResponse(413, "large");
+  };
+  server.Run([&](Tcp::socket& aCaller) {
+    SendText(aCaller,
+             "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999\r\n\r\n");
+    BOOST_TEST(ReadAll(aCaller).starts_with("HTTP/1.1 413"));
+  });
+  BOOST_TEST((fault == HttpFault::BodyTooLarge));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
