--- a/src/baobab/wire/peer_codec.cpp
+++ b/src/baobab/wire/peer_encode.cpp
@@ -1,12 +1,10 @@
 #include "baobab/wire/peer_codec.hpp"
 
-#include "deflate.hpp"
 #include "generated/peer_generated.h"
 #include "member_codec.hpp"
 #include "packed_texts.hpp"
 
 #include <algorithm>
-#include <cstring>
 
 namespace baobab {
 namespace {
@@ -17,9 +15,6 @@
 using Headers = flatbuffers::Vector<flatbuffers::Offset<fb::Header>>;
 using Bytes = flatbuffers::Vector<std::uint8_t>;
 
-/// Bounds the memory that a damaged message can ask for.
-constexpr std::uint32_t kLargestServiceFile = 4U << 20U;
-
 /// A message inside its union.
 struct Encoded
 {
@@ -34,24 +29,12 @@
   return static_cast<std::uint64_t>(std::max<std::int64_t>(0, aTime.count()));
 }
 
-Micros
-ToMicros(std::uint64_t aTime)
-{
-  return Micros(std::min<std::uint64_t>(aTime, INT64_MAX / 4000));
-}
-
 fb::Id
 ToWire(const CallId& aId)
 {
   return { aId.sender, aId.sequence };
 }
 
-CallId
-FromWire(const fb::Id& aId)
-{
-  return { aId.sender(), aId.sequence() };
-}
-
 flatbuffers::Offset<Headers>
 EncodeHeaders(Builder& aBuilder, const std::vector<HeaderField>& aHeaders)
 {
@@ -65,19 +48,6 @@
   return aBuilder.CreateVector(fields);
 }
 
-std::vector<HeaderField>
-DecodeHeaders(const Headers* aHeaders)
-{
-  std::vector<HeaderField> fields;
-  if (aHeaders != nullptr) {
-    fields.reserve(aHeaders->size());
-    for (const fb::Header* field : *aHeaders) {
-      fields.push_back({ field->name()->str(), field->value()->str() });
-    }
-  }
-  return fields;
-}
-
 flatbuffers::Offset<Bytes>
 EncodeBytes(Builder& aBuilder, const std::string& aText)
 {
@@ -85,15 +55,6 @@
     reinterpret_cast<const std::uint8_t*>(aText.data()), aText.size());
 }
 
-std::string
-DecodeBytes(const Bytes* aBytes)
-{
-  if (aBytes == nullptr) {
-    return {};
-  }
-  return { reinterpret_cast<const char*>(aBytes->data()), aBytes->size() };
-}
-
 /// Points to the load on the wire, or to nothing if there is none.
 class WireLoad
 {
@@ -114,17 +75,6 @@
   bool present = false;
 };
 
-std::optional<LoadReport>
-DecodeLoad(const fb::Load* aLoad)
-{
-  if (aLoad == nullptr) {
-    return std::nullopt;
-  }
-  return LoadReport{
-    aLoad->running(), aLoad->queued(), aLoad->slots(), aLoad->slowness()
-  };
-}
-
 Encoded
 Encode(Builder& aBuilder, const HelloMessage& aMessage)
 {
@@ -310,12 +260,6 @@
            fb::CreateMemberList(aBuilder, bytes).Union() };
 }
 
-std::string
-TextOf(const flatbuffers::String* aText)
-{
-  return aText == nullptr ? std::string() : aText->str();
-}
-
 Encoded
 Encode(Builder& aBuilder, const BurnReportMessage& aMessage)
 {
@@ -352,195 +296,6 @@
            fb::CreateLoadNews(aBuilder, load.Get()).Union() };
 }
 
-Result<PeerMessage>
-Decode(const fb::BurnReport& aReport)
-{
-  BurnReportMessage message;
-  message.report = {
-    aReport.reporter(), aReport.sequence(), aReport.generation(), {}
-  };
-  if (aReport.services() == nullptr) {
-    return PeerMessage(std::move(message));
-  }
-  for (const fb::ServiceCounts* counts : *aReport.services()) {
-    ServiceCounts read;
-    read.service = counts->service()->str();
-    read.measuringBytes = counts->measuring_bytes();
-    if (counts->calls() == nullptr || counts->calls()->size() != kCallClasses) {
-      return Error{ ErrorKind::BadMessage, "counts of other classes", "" };
-    }
-    std::ranges::copy(*counts->calls(), read.calls.begin());
-    message.report.services.push_back(std::move(read));
-  }
-  return PeerMessage(std::move(message));
-}
-
-Result<PeerMessage>
-Decode(const fb::Call& aCall)
-{
-  CallMessage message;
-  message.id = FromWire(*aCall.id());
-  message.request = { aCall.service()->str(),
-                      aCall.method()->str(),
-                      aCall.target()->str(),
-                      DecodeHeaders(aCall.headers()),
-                      DecodeBytes(aCall.body()) };
-  message.remaining = ToMicros(aCall.remaining_us());
-  message.idempotent = aCall.idempotent();
-  message.priority = aCall.priority();
-  message.objective = Micros(aCall.objective_us());
-  message.work = ToMicros(aCall.work_us());
-  message.alternative = ToMicros(aCall.alternative_us());
-  message.traced = aCall.traced();
-  return PeerMessage(std::move(message));
-}
-
-Result<PeerMessage>
-Decode(const fb::Answer& aAnswer)
-{
-  return PeerMessage(AnswerMessage{ FromWire(*aAnswer.id()),
-                                    { aAnswer.status(),
-                                      DecodeHeaders(aAnswer.headers()),
-                                      DecodeBytes(aAnswer.body()) },
-                                    DecodeLoad(aAnswer.load()),
-                                    ToMicros(aAnswer.work_us()),
-                                    ToMicros(aAnswer.held_us()) });
-}
-
-Result<PeerMessage>
-Decode(const fb::Refusal& aRefusal)
-{
-  if (aRefusal.reason() > static_cast<std::uint8_t>(kLastRefusalReason)) {
-    return Error{ ErrorKind::BadMessage, "unknown reason of a refusal", "" };
-  }
-  const auto reason = static_cast<RefusalReason>(aRefusal.reason());
-  return PeerMessage(RefusalMessage{ FromWire(*aRefusal.id()),
-                                     { reason,
-                                       TextOf(aRefusal.detail()),
-                                       aRefusal.retried(),
-                                       ToMicros(aRefusal.retry_after_us()) },
-                                     DecodeLoad(aRefusal.load()) });
-}
-
-Result<PeerMessage>
-Decode(const fb::ConfigReply& aReply)
-{
-  ConfigReplyMessage message;
-  message.delta.base = aReply.base();
-  message.delta.generation = aReply.generation();
-  message.delta.digest = aReply.digest();
-  if (aReply.entries() != nullptr) {
-    for (const fb::ConfigEntry* entry : *aReply.entries()) {
-      message.delta.entries.push_back({ entry->name()->str(),
-                                        entry->revision(),
-                                        entry->hash()->str(),
-                                        entry->generation() });
-      if (entry->size() > kLargestServiceFile) {
-        return Error{ ErrorKind::TooLarge, "service file is too large", "" };
-      }
-      std::string packed = DecodeBytes(entry->deflated());
-      auto text = Inflate(packed, entry->size());
-      if (!Succeeded(text)) {
-        return Failure(text);
-      }
-      if (ContentHash(Value(text)) == message.delta.entries.back().hash) {
-        RememberPacked(message.delta.entries.back().hash, std::move(packed));
-      }
-      message.delta.texts.push_back(std::move(Value(text)));
-    }
-  }
-  return PeerMessage(std::move(message));
-}
-
-Result<PeerMessage>
-Decode(const fb::MemberList& aList)
-{
-  const auto* bytes = aList.gossip();
-  flatbuffers::Verifier verifier(bytes->data(), bytes->size());
-  if (bytes->size() < 2 * sizeof(std::uint32_t) ||
-      !fb::VerifyGossipBuffer(verifier)) {
-    return Error{ ErrorKind::BadMessage, "not a member list", "" };
-  }
-  MemberListMessage message;
-  const fb::Gossip& gossip = *fb::GetGossip(bytes->data());
-  if (gossip.news() != nullptr) {
-    for (const fb::Member* member : *gossip.news()) {
-      auto record = DecodeMember(*member);
-      if (!Succeeded(record)) {
-        return Failure(record);
-      }
-      message.members.push_back(std::move(Value(record)));
-    }
-  }
-  return PeerMessage(std::move(message));
-}
-
-Result<PeerMessage>
-DecodeBody(const fb::Envelope& aEnvelope)
-{
-  switch (aEnvelope.body_type()) {
-    case fb::Body::Hello: {
-      const fb::Hello& hello = *aEnvelope.body_as_Hello();
-      return PeerMessage(HelloMessage{
-        hello.sender(), hello.connection(), TextOf(hello.region()) });
-    }
-    case fb::Body::Welcome:
-      return PeerMessage(
-        WelcomeMessage{ aEnvelope.body_as_Welcome()->incarnation() });
-    case fb::Body::Call:
-      return Decode(*aEnvelope.body_as_Call());
-    case fb::Body::Answer:
-      return Decode(*aEnvelope.body_as_Answer());
-    case fb::Body::Refusal:
-      return Decode(*aEnvelope.body_as_Refusal());
-    case fb::Body::Lost:
-      return PeerMessage(
-        LostMessage{ FromWire(*aEnvelope.body_as_Lost()->id()) });
-    case fb::Body::Running:
-      return PeerMessage(
-        RunningMessage{ FromWire(*aEnvelope.body_as_Running()->id()) });
-    case fb::Body::Ask: {
-      const fb::Ask& ask = *aEnvelope.body_as_Ask();
-      return PeerMessage(AskMessage{ FromWire(*ask.id()), ask.sent_on() });
-    }
-    case fb::Body::Release:
-      return PeerMessage(
-        ReleaseMessage{ FromWire(*aEnvelope.body_as_Release()->id()) });
-    case fb::Body::Cancel:
-      return PeerMessage(
-        CancelMessage{ FromWire(*aEnvelope.body_as_Cancel()->id()),
-                       aEnvelope.body_as_Cancel()->waiting_only() });
-    case fb::Body::Heartbeat:
-      return PeerMessage(
-        HeartbeatMessage{ aEnvelope.body_as_Heartbeat()->reply() });
-    case fb::Body::ConfigRequest:
-      return PeerMessage(ConfigRequestMessage{
-        aEnvelope.body_as_ConfigRequest()->generation() });
-    case fb::Body::ConfigReply:
-      return Decode(*aEnvelope.body_as_ConfigReply());
-    case fb::Body::TableRequest: {
-      TableRequestMessage message;
-      if (const auto* digests = aEnvelope.body_as_TableRequest()->digests()) {
-        message.digests.assign(digests->begin(), digests->end());
-      }
-      return PeerMessage(std::move(message));
-    }
-    case fb::Body::MemberList:
-      return Decode(*aEnvelope.body_as_MemberList());
-    case fb::Body::BurnReport:
-      return Decode(*aEnvelope.body_as_BurnReport());
-    case fb::Body::BurnAck:
-      return PeerMessage(
-        BurnAckMessage{ aEnvelope.body_as_BurnAck()->sequence() });
-    case fb::Body::LoadNews:
-      return PeerMessage(
-        LoadNewsMessage{ *DecodeLoad(aEnvelope.body_as_LoadNews()->load()) });
-    case fb::Body::NONE:
-      break;
-  }
-  return Error{ ErrorKind::BadMessage, "unknown kind of message", "" };
-}
-
 }
 
 void
@@ -558,27 +313,4 @@
                  builder.GetSize());
 }
 
-Result<std::size_t>
-FrameLength(std::span<const std::uint8_t, kFrameHeaderBytes> aHeader)
-{
-  std::uint32_t length = 0;
-  std::memcpy(&length, aHeader.data(), sizeof length);
-  length = flatbuffers::EndianScalar(length);
-  if (length > kLargestFrame) {
-    return Error{ ErrorKind::TooLarge, "frame is too large", "" };
-  }
-  return std::size_t{ length };
-}
-
-Result<PeerMessage>
-DecodeFrame(std::span<const std::uint8_t> aFrame)
-{
-  flatbuffers::Verifier verifier(aFrame.data(), aFrame.size());
-  if (aFrame.size() < sizeof(std::uint32_t) ||
-      !fb::VerifyEnvelopeBuffer(verifier)) {
-    return Error{ ErrorKind::BadMessage, "not a message of this protocol", "" };
-  }
-  return DecodeBody(*fb::GetEnvelope(aFrame.data()));
-}
-
 }
