--- a/include/baobab/core/settings_change.hpp
+++ b/include/baobab/core/settings_change.hpp
@@ -28,7 +28,10 @@
   /// Keys that take effect with the next start.
   std::vector<std::string> afterRestart;
 
-  bool Empty() const { return this->live.empty() && this->afterRestart.empty(); }
+  bool Empty() const
+  {
+    return this->live.empty() && this->afterRestart.empty();
+  }
 };
 
 SettingsChange ChangeBetween(const std::vector<TomlEntry>& aBefore,
--- a/include/baobab/net/log.hpp
+++ b/include/baobab/net/log.hpp
@@ -53,8 +53,7 @@
   if (!LogEnabled(aEvent.level, aEvent.keep)) {
     return;
   }
-  LogLine line =
-    log_detail::Begin(aEvent.name, aEvent.channel, aEvent.level);
+  LogLine line = log_detail::Begin(aEvent.name, aEvent.channel, aEvent.level);
   std::size_t field = 0;
   (line.Add(aEvent.fields[field++].name, aValues), ...);
   log_detail::Submit(std::move(line));
--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -50,9 +50,9 @@
   LogLevel::Info,
   LogKeep::Always,
   "The settings file was read again and its changes are in force.",
-  std::array{ LogField{ "changed", "keys in force" },
-              LogField{ "after_restart",
-                        "keys that take effect with the next start" } }
+  std::array{
+    LogField{ "changed", "keys in force" },
+    LogField{ "after_restart", "keys that take effect with the next start" } }
 };
 
 inline constexpr LogEvent kSettingsRejected{
@@ -377,13 +377,14 @@
   LogLevel::Info,
   LogKeep::Ordinary,
   "The target has answered a call.",
-  std::array{ LogField{ "request", "identity of the request" },
-              LogField{ "call", "identity of the attempt" },
-              LogField{ "status", "HTTP status of the target" },
-              LogField{ "waited_ms", "time in the queue" },
-              LogField{ "ran_ms", "time at the target" },
-              LogField{ "slowness",
-                        "slowness of the host at the start; 1 is the usual" } }
+  std::array{
+    LogField{ "request", "identity of the request" },
+    LogField{ "call", "identity of the attempt" },
+    LogField{ "status", "HTTP status of the target" },
+    LogField{ "waited_ms", "time in the queue" },
+    LogField{ "ran_ms", "time at the target" },
+    LogField{ "slowness",
+              "slowness of the host at the start; 1 is the usual" } }
 };
 
 inline constexpr LogEvent kCallLost{
@@ -392,13 +393,14 @@
   LogLevel::Info,
   LogKeep::Always,
   "A call was handed to the target and has no answer that may be used.",
-  std::array{ LogField{ "request", "identity of the request" },
-              LogField{ "call", "identity of the attempt" },
-              LogField{ "cause", "why its outcome is unknown" },
-              LogField{ "waited_ms", "time in the queue" },
-              LogField{ "ran_ms", "time at the target" },
-              LogField{ "slowness",
-                        "slowness of the host at the start; 1 is the usual" } }
+  std::array{
+    LogField{ "request", "identity of the request" },
+    LogField{ "call", "identity of the attempt" },
+    LogField{ "cause", "why its outcome is unknown" },
+    LogField{ "waited_ms", "time in the queue" },
+    LogField{ "ran_ms", "time at the target" },
+    LogField{ "slowness",
+              "slowness of the host at the start; 1 is the usual" } }
 };
 
 inline constexpr LogEvent kCallFenced{
--- a/include/baobab/node/gossip_agent.hpp
+++ b/include/baobab/node/gossip_agent.hpp
@@ -70,7 +70,7 @@
 private:
   void Handle(std::span<const std::uint8_t> aBytes);
   void Exchange(const Endpoint& aPeer);
-  void ReadSeeds();
+  bool ReadSeeds();
   bool IsSeedWriter() const;
   void WriteSeeds();
   void GreetAll(std::string_view aText);
--- a/include/baobab/node/route_index.hpp
+++ b/include/baobab/node/route_index.hpp
@@ -30,8 +30,8 @@
     for (const RoutePart& part : this->spec.parts) {
       total += part.weight;
     }
-    auto drawn = static_cast<std::int64_t>(
-      Below(aRandom, static_cast<std::uint64_t>(std::max<std::int64_t>(1, total))));
+    auto drawn = static_cast<std::int64_t>(Below(
+      aRandom, static_cast<std::uint64_t>(std::max<std::int64_t>(1, total))));
     const auto picked =
       std::ranges::find_if(this->spec.parts, [&](const RoutePart& aPart) {
         drawn -= aPart.weight;
--- a/include/baobab/trace/clock_offsets.hpp
+++ b/include/baobab/trace/clock_offsets.hpp
@@ -10,8 +10,8 @@
 namespace baobab {
 
 /// How far the clock of one daemon is ahead of another's.
-using ClockOffsets = std::map<std::pair<std::string, std::string>,
-                              std::chrono::microseconds>;
+using ClockOffsets =
+  std::map<std::pair<std::string, std::string>, std::chrono::microseconds>;
 
 /// Estimates the offsets between daemons that exchanged calls, out of the
 /// times at which attempts were sent, arrived, ended there and ended here. The
--- a/src/baobab/core/settings_change_test.cpp
+++ b/src/baobab/core/settings_change_test.cpp
@@ -44,10 +44,10 @@
   text += "[log]\nlevel = 'debug'\n";
   const auto change =
     ChangeBetween(Loaded(kFile).entries, Loaded(text).entries);
-  BOOST_TEST((change.live ==
-              std::vector<std::string>{ "log.level", "retry.ratio" }));
-  BOOST_TEST((change.afterRestart ==
-              std::vector<std::string>{ "store.address" }));
+  BOOST_TEST(
+    (change.live == std::vector<std::string>{ "log.level", "retry.ratio" }));
+  BOOST_TEST(
+    (change.afterRestart == std::vector<std::string>{ "store.address" }));
 }
 
 BOOST_AUTO_TEST_CASE(a_key_that_is_left_out_has_changed)
--- a/src/baobab/core/toml_guard.cpp
+++ b/src/baobab/core/toml_guard.cpp
@@ -34,7 +34,8 @@
   void SkipString(char aQuote)
   {
     const std::string_view rest = this->text.substr(this->place);
-    const bool isLong = rest.size() > 2 && rest[1] == aQuote && rest[2] == aQuote;
+    const bool isLong =
+      rest.size() > 2 && rest[1] == aQuote && rest[2] == aQuote;
     const std::size_t quotes = isLong ? 3 : 1;
     const std::string_view closing = rest.substr(0, quotes);
     this->place += quotes;
--- a/src/baobab/core/toml_guard_test.cpp
+++ b/src/baobab/core/toml_guard_test.cpp
@@ -11,7 +11,8 @@
 BOOST_AUTO_TEST_CASE(strings_and_comments_may_hold_anything)
 {
   BOOST_TEST(!FindStrayByte("a = \"\xc3\xa9 \\\" \xc3\xa9\" # \xc3\xa9\n"));
-  BOOST_TEST(!FindStrayByte("a = '\xc3\xa9'\nb = \"\"\"\n\xc3\xa9\"\n\"\"\"\n"));
+  BOOST_TEST(
+    !FindStrayByte("a = '\xc3\xa9'\nb = \"\"\"\n\xc3\xa9\"\n\"\"\"\n"));
   BOOST_TEST(!FindStrayByte("a = '''\n'\xc3\xa9'\n'''\n# end"));
 }
 
--- a/src/baobab/net/log.cpp
+++ b/src/baobab/net/log.cpp
@@ -84,8 +84,8 @@
     return;
   }
   aReportedAt = now;
-  LogLine line = log_detail::Begin(
-    kLogDropped.name, kLogDropped.channel, kLogDropped.level);
+  LogLine line =
+    log_detail::Begin(kLogDropped.name, kLogDropped.channel, kLogDropped.level);
   line.Add(kLogDropped.fields[0].name, dropped);
   State().backend->Append(std::move(line).Finish());
 }
@@ -157,8 +157,7 @@
   if (!state.started || aLevel < state.level) {
     return false;
   }
-  if (aKeep == LogKeep::Ordinary &&
-      QueueState().waiting >= kOrdinaryLines) {
+  if (aKeep == LogKeep::Ordinary && QueueState().waiting >= kOrdinaryLines) {
     ++QueueState().dropped;
     return false;
   }
--- a/src/baobab/net/socket.cpp
+++ b/src/baobab/net/socket.cpp
@@ -19,8 +19,7 @@
   asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
 
 template<int Name>
-using TcpNumber =
-  asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+using TcpNumber = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
 
 constexpr int kBacklog = 4096;
 
--- a/src/baobab/node/admin.cpp
+++ b/src/baobab/node/admin.cpp
@@ -202,9 +202,8 @@
   return {
     [](const HttpHead&) { return kLargestAnnouncement; },
     [metrics = std::move(aMetrics)](Request&& aRequest, CallerWatch&) {
-      return aRequest.target == kMetrics
-               ? MetricsResponse(metrics())
-               : TextResponse(404, "no such page\n");
+      return aRequest.target == kMetrics ? MetricsResponse(metrics())
+                                         : TextResponse(404, "no such page\n");
     },
     [](HttpFault) { return TextResponse(400, "bad request\n"); },
   };
--- a/src/baobab/node/attempt_runner.cpp
+++ b/src/baobab/node/attempt_runner.cpp
@@ -74,8 +74,8 @@
                },
                [&](const NotRun& aRefusal) {
                  aRecord.outcome = "not-run";
-                 aRecord.detail = std::string(Name(aRefusal.reason)) + ": " +
-                                  aRefusal.detail;
+                 aRecord.detail =
+                   std::string(Name(aRefusal.reason)) + ": " + aRefusal.detail;
                },
                [&](const OutcomeUnknown& aUnknown) {
                  aRecord.outcome = "unknown";
@@ -193,22 +193,18 @@
     state.ObserveOthers(aTarget.load.OthersPerSlot());
     state.ObserveSlowness(aResult.load->slowness / kPercent);
   }
-  std::visit(Overloaded{
-               [&](const Answered& aAnswer) {
-                 LearnAnswer(aCall,
-                             aTarget,
-                             aResult,
-                             aAnswer.response.body.size(),
-                             aLatency);
-               },
-               [&](const NotRun& aRefusal) {
-                 LearnRefusal(aTarget, aRefusal.reason);
-               },
-               [&](const OutcomeUnknown& aUnknown) {
-                 LearnUnknown(aTarget, aUnknown.cause);
-               },
-             },
-             aResult.outcome);
+  std::visit(
+    Overloaded{
+      [&](const Answered& aAnswer) {
+        LearnAnswer(
+          aCall, aTarget, aResult, aAnswer.response.body.size(), aLatency);
+      },
+      [&](const NotRun& aRefusal) { LearnRefusal(aTarget, aRefusal.reason); },
+      [&](const OutcomeUnknown& aUnknown) {
+        LearnUnknown(aTarget, aUnknown.cause);
+      },
+    },
+    aResult.outcome);
 }
 
 }
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -267,8 +267,8 @@
                          [](const auto& aItem) { return aItem.first; });
   for (const CallId& id : ids) {
     this->admission.Withdraw(id);
-    this->RefuseWaiting(
-      id, { RefusalReason::Leaving, "the daemon shuts down" });
+    this->RefuseWaiting(id,
+                        { RefusalReason::Leaving, "the daemon shuts down" });
   }
 }
 
@@ -349,9 +349,8 @@
   running.objective = aWaiting.arrived + aWaiting.call.objective;
   running.slowness = this->admission.Report().slowness / kPercent;
   if (aWaiting.call.traced) {
-    LogStarted(
-      this->Logged(aWaiting.call, aWaiting.arrived, aWaiting.deadline),
-      this->admission.Report());
+    LogStarted(this->Logged(aWaiting.call, aWaiting.arrived, aWaiting.deadline),
+               this->admission.Report());
   }
   this->SpreadLoad();
   Spawn([this, call = std::move(aWaiting.call), deadline = aWaiting.deadline] {
@@ -433,8 +432,8 @@
     if (!route || route->service->spec.healthPath.empty()) {
       continue;
     }
-    const auto load = ProbeLoad(
-      this->target, route->service->spec.healthPath, this->settings);
+    const auto load =
+      ProbeLoad(this->target, route->service->spec.healthPath, this->settings);
     if (load) {
       this->TakeLoad(*load);
       this->SpreadLoad();
@@ -560,10 +559,9 @@
                    TimePoint aDeadline) const
 {
   const std::string& header = this->settings.headers.requestId;
-  return { FindHeader(aCall.request.headers, header),
-           aCall.id,
-           aArrived,
-           aDeadline };
+  return {
+    FindHeader(aCall.request.headers, header), aCall.id, aArrived, aDeadline
+  };
 }
 
 }
--- a/src/baobab/node/call_trail.cpp
+++ b/src/baobab/node/call_trail.cpp
@@ -14,10 +14,8 @@
 {
   static thread_local SplitMix random(EntropySeed());
   char text[24];
-  std::snprintf(text,
-                sizeof text,
-                "%016llx",
-                static_cast<unsigned long long>(random()));
+  std::snprintf(
+    text, sizeof text, "%016llx", static_cast<unsigned long long>(random()));
   return text;
 }
 
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -101,7 +101,8 @@
   };
   const std::uint64_t since = aRequest.generation;
   Spawn([this, aFrames, since, size] {
-    this->pacer.SpendOnConfiguration(size(this->publisher.Current()->Since(since)));
+    this->pacer.SpendOnConfiguration(
+      size(this->publisher.Current()->Since(since)));
     // Made after the wait, so that it holds what came into force meanwhile.
     aFrames->Send(
       ConfigReplyMessage{ this->publisher.Current()->Since(since) });
--- a/src/baobab/node/crash_watch.cpp
+++ b/src/baobab/node/crash_watch.cpp
@@ -26,11 +26,10 @@
   if (this->broken.size() > 1) {
     return;
   }
-  Spawn(
-    [this, together = std::move(aTogether), runs = std::move(aRuns)] {
-      boost::this_fiber::sleep_for(kCrashWindow);
-      this->Check(together, runs);
-    });
+  Spawn([this, together = std::move(aTogether), runs = std::move(aRuns)] {
+    boost::this_fiber::sleep_for(kCrashWindow);
+    this->Check(together, runs);
+  });
 }
 
 void
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -8,9 +8,9 @@
 #include "baobab/node/admin.hpp"
 #include "baobab/node/call_server.hpp"
 #include "baobab/node/config_agent.hpp"
+#include "baobab/node/daemon_metrics.hpp"
 #include "baobab/node/gossip_agent.hpp"
 #include "baobab/node/ingress_pool.hpp"
-#include "baobab/node/daemon_metrics.hpp"
 #include "baobab/node/metrics.hpp"
 #include "baobab/node/peer_server.hpp"
 #include "baobab/node/route_publisher.hpp"
@@ -93,13 +93,17 @@
                  EntropySeed(),
                  Now())
     , pacer(this->settings.control.bytesPerSecond)
-    , publisher(this->membership, this->quarantine, this->routes, this->settings)
-    , config(this->control.Context(),
-             aPlatform.openConfig(this->control.Context(), this->settings.store),
-             this->membership,
-             this->publisher,
-             this->pacer,
-             this->settings)
+    , publisher(this->membership,
+                this->quarantine,
+                this->routes,
+                this->settings)
+    , config(
+        this->control.Context(),
+        aPlatform.openConfig(this->control.Context(), this->settings.store),
+        this->membership,
+        this->publisher,
+        this->pacer,
+        this->settings)
     , gossip(this->control.Context(),
              aPlatform.openStore(this->control.Context(), this->settings.store),
              this->membership,
--- a/src/baobab/node/daemon_metrics.cpp
+++ b/src/baobab/node/daemon_metrics.cpp
@@ -24,9 +24,8 @@
     "service=\"" + aRoute.service->spec.name + "\",budget=\"";
   const auto add = [&](std::string_view aName, const ByteBudget& aBudget) {
     const std::string labels = label + std::string(aName) + "\"";
-    aPage.Add("budget_spent_bytes_total",
-              labels,
-              static_cast<double>(aBudget.Spent()));
+    aPage.Add(
+      "budget_spent_bytes_total", labels, static_cast<double>(aBudget.Spent()));
     aPage.Add("budget_allowed_bytes_per_second",
               labels,
               static_cast<double>(aBudget.Rate()));
@@ -70,8 +69,7 @@
 void
 AddRouteMetrics(MetricsPage& aPage, const RouteTable& aTable)
 {
-  aPage.Add(
-    "routable_targets", "", static_cast<double>(aTable.TargetCount()));
+  aPage.Add("routable_targets", "", static_cast<double>(aTable.TargetCount()));
   for (const auto& route : aTable.routes) {
     AddBudgetMetrics(aPage, *route);
   }
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -34,6 +34,9 @@
 
 constexpr Duration kSeedPeriod = 30s;
 constexpr Duration kSeedRetry = 1s;
+
+/// Time over which the daemons of a fleet that starts look for first peers.
+constexpr Duration kFirstSeedSpread = 400ms;
 constexpr std::size_t kSeedWriters = 2;
 constexpr std::size_t kSeedsKept = 16;
 
@@ -228,11 +231,16 @@
 void
 GossipAgent::RunSeeds()
 {
-  this->ReadSeeds();
+  // When a whole fleet starts, everyone is alone and would write: those whose
+  // turn comes later find the first peers written by the others.
+  boost::this_fiber::sleep_for(std::chrono::duration_cast<Duration>(
+    kFirstSeedSpread * Fraction(this->random)));
+  bool found = this->ReadSeeds();
   while (true) {
-    if (this->IsSeedWriter()) {
+    if (this->IsSeedWriter() && !found) {
       this->WriteSeeds();
     }
+    found = false;
     const bool alone = this->membership.Size() == 1;
     const double spread = 0.5 + Fraction(this->random);
     boost::this_fiber::sleep_for(std::chrono::duration_cast<Duration>(
@@ -243,17 +251,19 @@
   }
 }
 
-void
+/// Greets the first peers that the store tells. Returns true if there are any.
+bool
 GossipAgent::ReadSeeds()
 {
   const auto lists = this->store->ReadAll(kSeedPrefix);
   if (!Succeeded(lists)) {
     Log(kPeersMissing, Failure(lists));
-    return;
+    return false;
   }
   for (const StoredObject& list : Value(lists)) {
     this->GreetAll(list.value);
   }
+  return !Value(lists).empty();
 }
 
 bool
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -147,10 +147,10 @@
 Response
 Ingress::Unserved(const IngressCall& aCall)
 {
-  return this->Conclude(
-    aCall,
-    NotRun{ RefusalReason::NoTarget, "the route names no service that is known" },
-    aCall.rule->owner->spec.name);
+  return this->Conclude(aCall,
+                        NotRun{ RefusalReason::NoTarget,
+                                "the route names no service that is known" },
+                        aCall.rule->owner->spec.name);
 }
 
 Response
--- a/src/baobab/node/ingress_call.cpp
+++ b/src/baobab/node/ingress_call.cpp
@@ -96,9 +96,8 @@
     call.began);
   SetOwnHeaders(aRequest, aSettings);
   aRequest.service = aRule->Pick(aRandom);
-  call.route = aRoutes.Read([&](const RouteTable& aTable) {
-    return aTable.Find(aRequest.service);
-  });
+  call.route = aRoutes.Read(
+    [&](const RouteTable& aTable) { return aTable.Find(aRequest.service); });
   call.rule = std::move(aRule);
   call.request = std::move(aRequest);
   call.suspect = SuspectOf(call.request, aRoutes);
--- a/src/baobab/node/metrics.cpp
+++ b/src/baobab/node/metrics.cpp
@@ -51,8 +51,8 @@
   const std::string separator = labels.empty() ? "" : ",";
   std::string& lines = this->FamilyOf(aName, "histogram").lines;
   const auto bucket = [&](const std::string& aBound, double aCount) {
-    lines += Line(
-      name + "_bucket", labels + separator + Label("le", aBound), aCount);
+    lines +=
+      Line(name + "_bucket", labels + separator + Label("le", aBound), aCount);
   };
   for (std::size_t i = 0; i < LatencyHistogram::kBounds.size(); ++i) {
     bucket(Number(LatencyHistogram::kBounds[i]),
@@ -75,11 +75,11 @@
   }
   for (const auto& [kind, histogram] : aStats.latencies) {
     const auto& [idempotent, callClass] = kind;
-    this->AddHistogram(
-      "call_seconds",
-      service + "," + Label("idempotent", idempotent ? "true" : "false") + "," +
-        Label("class", Name(callClass)),
-      histogram);
+    this->AddHistogram("call_seconds",
+                       service + "," +
+                         Label("idempotent", idempotent ? "true" : "false") +
+                         "," + Label("class", Name(callClass)),
+                       histogram);
   }
   this->AddHistogram("hop_seconds", service, aStats.hops);
   this->Add("attempts_total", service, static_cast<double>(aStats.attempts));
--- a/src/baobab/node/route_index.cpp
+++ b/src/baobab/node/route_index.cpp
@@ -37,7 +37,8 @@
       if (!state) {
         state = std::make_shared<RouteState>();
       }
-      this->Add(std::make_shared<Route>(Route{ std::move(spec), owner, state }));
+      this->Add(
+        std::make_shared<Route>(Route{ std::move(spec), owner, state }));
     }
   }
   for (auto& [host, routes] : this->byHost) {
--- a/src/baobab/node/route_publisher.cpp
+++ b/src/baobab/node/route_publisher.cpp
@@ -87,8 +87,8 @@
     const auto share = [&](std::int64_t aRate) {
       return ShareOf(aRate, daemons, settled);
     };
-    const RetryShare retries =
-      ShareOfRetries(this->live.retries.ratio, this->live.retries.fleetBurst, daemons);
+    const RetryShare retries = ShareOfRetries(
+      this->live.retries.ratio, this->live.retries.fleetBurst, daemons);
     aRoute->state->retries.Configure(std::min(spec.retry.ratio, retries.ratio),
                                      std::min(spec.retry.burst, retries.burst));
     aRoute->state->measuring.SetRate(share(spec.measuring.bytesPerSecond));
--- a/src/baobab/node/target_client_test.cpp
+++ b/src/baobab/node/target_client_test.cpp
@@ -80,9 +80,7 @@
        bool aIdempotent = true,
        const std::string& aBody = "")
 {
-  Request request{
-    "quoting", aBody.empty() ? "GET" : "POST", "/", {}, aBody
-  };
+  Request request{ "quoting", aBody.empty() ? "GET" : "POST", "/", {}, aBody };
   request.headers.push_back({ "Request-Id", aId });
   TargetControl control;
   return aClient.Run(
--- a/src/baobab/wire/peer_encode.cpp
+++ b/src/baobab/wire/peer_encode.cpp
@@ -219,7 +219,8 @@
     const auto name = aBuilder.CreateString(entry.name);
     const auto hash = aBuilder.CreateString(entry.hash);
     const auto size = static_cast<std::uint32_t>(delta.texts[i].size());
-    const auto deflated = EncodeBytes(aBuilder, PackedText(entry.hash, delta.texts[i]));
+    const auto deflated =
+      EncodeBytes(aBuilder, PackedText(entry.hash, delta.texts[i]));
     entries.push_back(fb::CreateConfigEntry(
       aBuilder, name, entry.revision, hash, entry.generation, size, deflated));
   }
--- a/src/bin/daemon_program.cpp
+++ b/src/bin/daemon_program.cpp
@@ -88,8 +88,8 @@
     return 0;
   }
   StartLog(Value(settings).settings);
-  const auto ended = RunDaemon(
-    Value(settings), aPlatform, { ReadSettings, SettingsStamp });
+  const auto ended =
+    RunDaemon(Value(settings), aPlatform, { ReadSettings, SettingsStamp });
   StopLog();
   if (!Succeeded(ended)) {
     std::cerr << Describe(Failure(ended)) << "\n";
