--- a/include/baobab/node/route_index.hpp
+++ b/include/baobab/node/route_index.hpp
@@ -75,7 +75,7 @@
 
   static std::shared_ptr<const Route> LongestPrefix(const HostRoutes& aRoutes,
                                                     std::string_view aTarget);
-  void Add(std::shared_ptr<const Route> aRoute);
+  void Add(const std::shared_ptr<const Route>& aRoute);
 
   std::unordered_map<std::string, HostRoutes> byHost;
 };
--- a/src/baobab/net/log.cpp
+++ b/src/baobab/net/log.cpp
@@ -182,8 +182,9 @@
 {
   LogState& state = State();
   thread_local boost::log::sources::logger logger;
+  const std::string text = std::move(aLine).Finish();
   ++QueueState().waiting;
-  BOOST_LOG(logger) << std::move(aLine).Finish();
+  BOOST_LOG(logger) << text;
   if (!state.due.exchange(true)) {
     state.wake.release();
   }
--- a/src/baobab/net/log_sink.hpp
+++ b/src/baobab/net/log_sink.hpp
@@ -25,6 +25,7 @@
 
 /// Leaves out a line for which the queue has no room. A member of the queue by
 /// Boost.Log's overflow interface.
+// NOLINTBEGIN(readability-identifier-naming): the library's own names.
 struct CountDropped
 {
   template<class Lock>
@@ -38,6 +39,7 @@
   static void on_queue_space_available() {}
   static void interrupt() {}
 };
+// NOLINTEND(readability-identifier-naming)
 
 /// Collects lines and writes them to a descriptor in few system calls.
 class DescriptorBackend
@@ -51,6 +53,8 @@
   {
   }
 
+  /// Called by the library for each line.
+  // NOLINTNEXTLINE(readability-identifier-naming): the library's own name.
   void consume(const boost::log::record_view& aRecord,
                const std::string& aLine);
 
--- a/src/baobab/net/log_test.cpp
+++ b/src/baobab/net/log_test.cpp
@@ -119,7 +119,8 @@
   line.Add("a", "plain");
   line.Add("b", "two words");
   line.Add("c", Duration(1500us));
-  BOOST_TEST(std::move(line).Finish() == "a=plain b=\"two words\" c=1.500");
+  const std::string text = std::move(line).Finish();
+  BOOST_TEST(text == "a=plain b=\"two words\" c=1.500");
 }
 
 BOOST_AUTO_TEST_CASE(the_page_is_in_step_with_the_events)
--- a/src/baobab/node/route_index.cpp
+++ b/src/baobab/node/route_index.cpp
@@ -78,7 +78,7 @@
 }
 
 void
-RouteIndex::Add(std::shared_ptr<const Route> aRoute)
+RouteIndex::Add(const std::shared_ptr<const Route>& aRoute)
 {
   HostRoutes& routes = this->byHost[Lower(aRoute->spec.host)];
   const std::string_view prefix = aRoute->spec.pathPrefix;
@@ -87,7 +87,7 @@
     routes.lengths.push_back(prefix.size());
   }
   // Of two files that declare the same route, the first one counts.
-  routes.byPrefix.try_emplace(prefix, std::move(aRoute));
+  routes.byPrefix.try_emplace(prefix, aRoute);
 }
 
 }
