--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -4,6 +4,7 @@
 #include "baobab/net/log.hpp"
 #include "baobab/net/log_events.hpp"
 #include "baobab/net/manifest_source.hpp"
+#include "baobab/net/process_signals.hpp"
 #include "baobab/net/worker.hpp"
 #include "baobab/node/admin.hpp"
 #include "baobab/node/call_server.hpp"
@@ -19,7 +20,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
-#include <csignal>
 
 namespace baobab {
 namespace {
@@ -69,18 +69,6 @@
   return options;
 }
 
-/// Lets the signals come that were held back during the start.
-void
-AllowSignals()
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  for (const int number : { SIGTERM, SIGINT, SIGHUP }) {
-    sigaddset(&signals, number);
-  }
-  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
-}
-
 class Daemon
 {
 public:
--- a/src/bin/daemon_program.cpp
+++ b/src/bin/daemon_program.cpp
@@ -3,6 +3,7 @@
 #include "baobab/core/settings_change.hpp"
 #include "baobab/net/log.hpp"
 #include "baobab/net/log_events.hpp"
+#include "baobab/net/process_signals.hpp"
 #include "command_line.hpp"
 
 #include <csignal>
@@ -55,19 +56,6 @@
             aSettings.logLevel });
 }
 
-/// Holds signals back until the daemon handles them; a shutdown that comes
-/// during the start is then a graceful one as well.
-void
-HoldSignals()
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  for (const int number : { SIGTERM, SIGINT, SIGHUP }) {
-    sigaddset(&signals, number);
-  }
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-}
-
 int
 Run(const Platform& aPlatform)
 {
--- a/testing/fuzz/datagram_fuzz.cpp
+++ b/testing/fuzz/datagram_fuzz.cpp
@@ -4,18 +4,10 @@
 #include "baobab/wire/gossip_codec.hpp"
 #include "bytes.hpp"
 
-#include <cstring>
-#include <vector>
-
 void
 baobab::Fuzz(std::span<const std::uint8_t> aBytes)
 {
-  std::vector<std::uint64_t> words(aBytes.size() / sizeof(std::uint64_t) + 1);
-  if (!aBytes.empty()) {
-    std::memcpy(words.data(), aBytes.data(), aBytes.size());
-  }
-  const auto* bytes = reinterpret_cast<const std::uint8_t*>(words.data());
-  const auto message = DecodeGossip({ bytes, aBytes.size() });
+  const auto message = DecodeGossip(AlignedBytes(aBytes).Span());
   if (Succeeded(message)) {
     constexpr TimePoint kNow{ 1h };
     MemberRecord self;
