Limit checks of an HTTP server do not outlive its acceptor's reference

In the daemon the acceptor lives as long as the process; in tests it does not. The checks share their own flag now.

--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -278,19 +278,23 @@
 };
 
 /// Connections of one server, for the checks of their time limits.
-using Connections = std::unordered_set<Connection*>;
+struct Connections
+{
+  std::unordered_set<Connection*> open;
+  /// True while more may come.
+  bool accepting = true;
+};
 
 /// Checks the time limits of all connections until the server ends. One
 /// timer for all is cheaper than one for each request.
 void
-RunLimitChecks(const std::shared_ptr<const Connections>& aConnections,
-               const Tcp::acceptor& aAcceptor)
+RunLimitChecks(const std::shared_ptr<const Connections>& aConnections)
 {
   constexpr Duration kPeriod = 50ms;
-  while (aAcceptor.is_open() || !aConnections->empty()) {
+  while (aConnections->accepting || !aConnections->open.empty()) {
     boost::this_fiber::sleep_for(kPeriod);
     const TimePoint now = Now();
-    std::ranges::for_each(*aConnections, [&](Connection* aConnection) {
+    std::ranges::for_each(aConnections->open, [&](Connection* aConnection) {
       aConnection->CheckLimit(now);
     });
   }
@@ -305,7 +309,8 @@
           HttpGate& aGate)
 {
   const auto connections = std::make_shared<Connections>();
-  Spawn([connections, &aAcceptor] { RunLimitChecks(connections, aAcceptor); });
+  // These checks go on for a moment after the acceptor is gone.
+  Spawn([connections] { RunLimitChecks(connections); });
   AcceptConnections(aAcceptor, [&](Tcp::socket aSocket) {
     if (aGate.Full()) {
       return;
@@ -316,13 +321,14 @@
       std::move(aSocket), aLimits, aHandler, aGate);
     ++aGate.open;
     ++aGate.accepted;
-    connections->insert(connection.get());
+    connections->open.insert(connection.get());
     Spawn([connection = std::move(connection), connections, &aGate] {
       connection->Run();
-      connections->erase(connection.get());
+      connections->open.erase(connection.get());
       --aGate.open;
     });
   });
+  connections->accepting = false;
 }
 
 bool
