Test scripts: a daemon that does not listen yet does not end wait_metric

Cause: with set -e and pipefail, curl's code 7 in the assignment ended the test before the time limit of the wait. Now a failed read counts as no value; the wait stays bounded and names the host and the metric.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -144,7 +144,8 @@
   shift 3
   for n in "$@"; do
     while true; do
-      current=$(metric "$n" "$name")
+      # A daemon that has just been started may not listen yet.
+      current=$(metric "$n" "$name") || current=
       [ -n "$current" ] && awk "BEGIN { exit !($current >= $value) }" && break
       if [ $SECONDS -ge $end ]; then
         echo "host $n: $name is '${current:-}', expected at least $value" >&2
