Shutdown: the drain time follows the supervisor's grace time

Cause: deploy/settings.toml had drain_ms = 5200, which fits a grace time of 6 s. With 10 s (large), calls that the target ended 5.3 s after SIGTERM were cut off. timeouts.grace_s gives the grace time; the shutdown uses 0.87 of it.

--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -35,8 +35,24 @@
   /// Time for which a daemon that shuts down still accepts requests, until
   /// callers and other daemons know about it.
   Millis leave{ 300 };
+  /// Time in seconds after SIGTERM at which the supervisor kills the process;
+  /// 0 if it is not known.
+  double graceSeconds = 0;
 };
 
+/// Times of a shutdown, counted from SIGTERM.
+struct ShutdownTimes
+{
+  /// Until then new requests are accepted.
+  Duration leave = Duration::zero();
+  /// Until then calls in flight may end.
+  Duration drain = Duration::zero();
+};
+
+/// Returns the times of a shutdown. It ends some time before the process would
+/// be killed.
+ShutdownTimes ShutdownTimesOf(const Timeouts& aTimeouts);
+
 /// Limits and periods of the control traffic.
 struct ControlBudget
 {
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -1,5 +1,7 @@
 #include "baobab/core/settings.hpp"
 
+#include <algorithm>
+
 namespace baobab {
 namespace {
 
@@ -256,6 +258,14 @@
       "leave_ms",
       [](S& s) -> auto& { return s.timeouts.leave; },
       "Time for which a daemon that shuts down still accepts requests."),
+    RealField<S>(
+      "timeouts.grace_s",
+      [](S& s) -> auto& { return s.timeouts.graceSeconds; },
+      0,
+      3600,
+      "s",
+      "Time after SIGTERM at which the supervisor kills the process, so that a "
+      "shutdown ends before it whatever `timeouts.drain_ms`; 0: not known."),
     IntegerField<S>(
       "control.bytes_per_second",
       [](S& s) -> auto& { return s.control.bytesPerSecond; },
@@ -313,6 +323,22 @@
 
 }
 
+ShutdownTimes
+ShutdownTimesOf(const Timeouts& aTimeouts)
+{
+  // The rest is for the last answers to be sent and for the exit.
+  constexpr double kDrainFraction = 0.87;
+  ShutdownTimes times{ aTimeouts.leave, aTimeouts.drain };
+  if (aTimeouts.graceSeconds > 0) {
+    const std::chrono::duration<double> grace(aTimeouts.graceSeconds);
+    times.drain = std::min(
+      times.drain,
+      std::chrono::duration_cast<Duration>(grace * kDrainFraction));
+  }
+  times.leave = std::min(times.leave, times.drain / 2);
+  return times;
+}
+
 const std::vector<Field<Settings>>&
 SettingsSchema()
 {
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -326,7 +326,7 @@
     const std::uint64_t before = this->membership.Version();
     this->membership.UpdateSelf(this->calls.AdmissionControl().Service(),
                                 this->calls.State(),
-                                this->calls.AdmissionControl().Report().slots);
+                                this->calls.AdmissionControl().AnnouncedSlots());
     if (this->membership.Version() != before) {
       this->gossip.Send(this->membership.PushUpdates());
     }
@@ -406,8 +406,9 @@
     Log(kDraining, this->calls.InFlight());
     this->calls.StartShutdown();
     this->PublishTargetState();
-    const TimePoint end = Now() + this->settings.timeouts.drain;
-    boost::this_fiber::sleep_for(this->settings.timeouts.leave);
+    const ShutdownTimes times = ShutdownTimesOf(this->settings.timeouts);
+    const TimePoint end = Now() + times.drain;
+    boost::this_fiber::sleep_for(times.leave);
     this->ingress.StopAccepting();
     const auto busy = [this] {
       return this->calls.InFlight() > 0 || this->ingress.ActiveRequests() > 0;
