Admission: learn the useful concurrency of a target

Load pattern: targets that slow down when nearly all slots are busy finish fewer calls per second with full slots. Admission now keeps the mean ratio of service time to estimate by concurrency and stops at the highest throughput; load reports carry this limit as slots, and the work told to other daemons is freed of crowding.

--- a/include/baobab/core/http_message.hpp
+++ b/include/baobab/core/http_message.hpp
@@ -39,4 +39,13 @@
   bool operator==(const Response&) const = default;
 };
 
+/// Returns true for the statuses from 200 to 299.
+constexpr bool
+IsSuccess(unsigned aStatus)
+{
+  constexpr unsigned kOk = 200;
+  constexpr unsigned kRedirect = 300;
+  return aStatus >= kOk && aStatus < kRedirect;
+}
+
 }
--- a/include/baobab/decision/admission.hpp
+++ b/include/baobab/decision/admission.hpp
@@ -7,6 +7,7 @@
 #include "baobab/core/outcome.hpp"
 #include "baobab/core/target_state.hpp"
 #include "baobab/core/time.hpp"
+#include "baobab/decision/useful_concurrency.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -59,6 +60,24 @@
   Duration alternative = Duration::zero();
 };
 
+/// A call that the target has run.
+struct FinishedCall
+{
+  explicit FinishedCall(Duration aServiceTime)
+    : serviceTime(aServiceTime)
+  {
+  }
+
+  Duration serviceTime;
+  /// Estimated service time on a host at normal speed; 0 if it is not known or
+  /// must not be compared, because the target failed.
+  Duration work = Duration::zero();
+  /// Calls that ran when this one started, including itself.
+  std::uint16_t concurrency = 0;
+  /// Slowness of the host when the call started; 1 is normal speed.
+  double slowness = 1;
+};
+
 /// The call starts now.
 struct StartNow
 {};
@@ -78,7 +97,8 @@
 
 /// Decides which calls run at the local target, which wait and which are
 /// refused. It never runs more calls at the same time than the target
-/// announced.
+/// announced, and fewer if the target finishes more calls per second with some
+/// slots free.
 ///
 /// Waiting calls start in this order: by priority; then calls that can
 /// still meet their objective before those that cannot; then by objective and
@@ -104,8 +124,7 @@
                           TimePoint aNow);
 
   /// Frees the slot of a call that the target ran.
-  /// @param aServiceTime time that the target took
-  std::vector<DequeuedCall> Finish(Duration aServiceTime, TimePoint aNow);
+  std::vector<DequeuedCall> Finish(const FinishedCall& aCall, TimePoint aNow);
 
   /// Sets the current slowness of the target's host. Waiting calls may
   /// start, or be refused so that their senders place them at other targets.
@@ -122,13 +141,28 @@
   /// calls, and the growth of the usable slots.
   std::vector<DequeuedCall> Tick(TimePoint aNow);
 
+  /// The load, with the useful concurrency as the number of slots.
   LoadReport Report() const;
+
+  /// Slots that the target announced.
+  std::uint16_t AnnouncedSlots() const { return this->slots; }
+
+  /// Factor by which the service time grows at this concurrency.
+  double Crowding(std::uint16_t aConcurrency) const
+  {
+    return this->concurrency.Crowding(aConcurrency);
+  }
+
+  /// Forgets what was learned about the target, because another instance of it
+  /// has started.
+  void ForgetTarget() { this->concurrency.Reset(); }
+
   /// The announced state, or None after the announcement timeout.
   TargetState State() const { return this->state; }
   const std::string& Service() const { return this->service; }
 
   /// Calls that may run at the same time now: a growing part of the slots
-  /// during the ramp, then all of them.
+  /// during the ramp, then the useful concurrency.
   std::uint16_t UsableSlots(TimePoint aNow) const;
 
 private:
@@ -139,6 +173,7 @@
     CallId id;
   };
 
+  bool IsRamping(TimePoint aNow) const;
   std::optional<NotRun> RefusalForState() const;
   /// Expected time that a call takes if it starts now.
   Duration RunTime(const AdmissionRequest& aRequest) const;
@@ -166,6 +201,7 @@
   Duration serviceTime = Duration::zero();
   /// Slowness of the host; 1 is normal speed.
   double slowness = 1;
+  UsefulConcurrency concurrency;
   std::vector<WaitingCall> queue;
 };
 
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -113,6 +113,8 @@
     TimePoint objective;
     /// Slowdown of the host when the call started; 1 is normal speed.
     double slowness = 1;
+    /// Calls that ran when the call started, including itself.
+    std::uint16_t concurrency = 1;
     TargetCallControl control;
   };
 
@@ -136,6 +138,9 @@
   void SendOutcomeUnknown(const CallMessage& aCall,
                           UnknownCause aCause,
                           const RunningCall& aRun);
+  std::vector<DequeuedCall> ReleaseSlot(const CallMessage& aCall,
+                                        const TargetResult& aResult,
+                                        const RunningCall& aRun);
   void UpdateLoad(const LoadReport& aLoad);
   void SendLoadUpdates();
   bool IsSuspectRunning() const;
--- a/src/baobab/decision/admission.cpp
+++ b/src/baobab/decision/admission.cpp
@@ -9,6 +9,9 @@
 /// The newest sample has a weight of 1/kAverageSpan in the moving average.
 constexpr int kAverageSpan = 16;
 
+/// Slowness of the host up to which service times are compared.
+constexpr double kNormalSpeed = 1.1;
+
 /// Slowness of the host from which calls may wait for it to recover.
 constexpr double kSlow = 2;
 
@@ -48,6 +51,7 @@
   }
   this->service = aAnnouncement.service;
   this->slots = aAnnouncement.slots;
+  this->concurrency.SetSlots(aAnnouncement.slots);
   this->state = aAnnouncement.state;
   this->announcedAt = aNow;
   return this->state == TargetState::Ready ? this->ProcessQueue(aNow)
@@ -95,12 +99,20 @@
 }
 
 std::vector<DequeuedCall>
-Admission::Finish(Duration aServiceTime, TimePoint aNow)
+Admission::Finish(const FinishedCall& aCall, TimePoint aNow)
 {
   --this->running;
   const bool first = this->serviceTime == Duration::zero();
   this->serviceTime +=
-    (aServiceTime - this->serviceTime) / (first ? 1 : kAverageSpan);
+    (aCall.serviceTime - this->serviceTime) / (first ? 1 : kAverageSpan);
+  const bool normalSpeed =
+    aCall.slowness <= kNormalSpeed && this->slowness <= kNormalSpeed;
+  if (aCall.work > Duration::zero() && normalSpeed && !this->IsRamping(aNow)) {
+    this->concurrency.Record(
+      aCall.concurrency,
+      std::chrono::duration<double>(aCall.serviceTime) / aCall.work,
+      aNow);
+  }
   return this->ProcessQueue(aNow);
 }
 
@@ -162,17 +174,17 @@
   constexpr double kPercent = 100;
   return { this->running,
            static_cast<std::uint16_t>(this->queue.size()),
-           this->slots,
+           this->concurrency.Limit(),
            static_cast<std::uint16_t>(this->slowness * kPercent) };
 }
 
 std::uint16_t
 Admission::UsableSlots(TimePoint aNow) const
 {
-  const Duration age = aNow - this->readySince;
-  if (this->readySince == TimePoint{} || age >= this->limits.ramp) {
-    return this->slots;
+  if (!this->IsRamping(aNow)) {
+    return this->concurrency.Limit();
   }
+  const Duration age = aNow - this->readySince;
   const double usableFraction =
     std::max(kRampStart,
              static_cast<double>(age.count()) /
@@ -181,6 +193,13 @@
     1, static_cast<std::uint16_t>(usableFraction * this->slots));
 }
 
+bool
+Admission::IsRamping(TimePoint aNow) const
+{
+  return this->readySince != TimePoint{} &&
+         aNow - this->readySince < this->limits.ramp;
+}
+
 std::optional<NotRun>
 Admission::RefusalForState() const
 {
--- a/src/baobab/decision/admission_test.cpp
+++ b/src/baobab/decision/admission_test.cpp
@@ -46,7 +46,7 @@
   BOOST_TEST(IsStarted(admission.Offer(Id(2), kNow + 1s, kNow)));
   BOOST_TEST(
     std::holds_alternative<Queued>(admission.Offer(Id(3), kNow + 1s, kNow)));
-  const auto next = admission.Finish(5ms, kNow + 5ms);
+  const auto next = admission.Finish(FinishedCall(5ms), kNow + 5ms);
   BOOST_REQUIRE(next.size() == 1U);
   BOOST_TEST((next[0].id == Id(3)));
   BOOST_TEST(IsStarted(next[0].decision));
@@ -59,7 +59,7 @@
   admission.Offer(Id(1), kNow + 1s, kNow);
   admission.Offer(Id(2), kNow + 900ms, kNow);
   admission.Offer(Id(3), kNow + 500ms, kNow);
-  const auto next = admission.Finish(1ms, kNow + 1ms);
+  const auto next = admission.Finish(FinishedCall(1ms), kNow + 1ms);
   BOOST_REQUIRE(next.size() == 1U);
   BOOST_TEST((next[0].id == Id(3)));
 }
@@ -70,7 +70,7 @@
   BOOST_TEST(
     IsRefusedFor(admission.Offer(Id(1), kNow, kNow), RefusalReason::Expired));
   admission.Offer(Id(2), kNow + 1s, kNow);
-  admission.Finish(50ms, kNow);
+  admission.Finish(FinishedCall(50ms), kNow);
   admission.Offer(Id(3), kNow + 1s, kNow);
   BOOST_TEST(IsRefusedFor(admission.Offer(Id(4), kNow + 60ms, kNow),
                           RefusalReason::Overloaded));
@@ -84,7 +84,7 @@
   const auto dropped = admission.Tick(kNow + 150ms);
   BOOST_REQUIRE(dropped.size() == 1U);
   BOOST_TEST(IsRefusedFor(dropped[0].decision, RefusalReason::Overloaded));
-  BOOST_TEST(admission.Finish(1ms, kNow + 200ms).empty());
+  BOOST_TEST(admission.Finish(FinishedCall(1ms), kNow + 200ms).empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_full_queue_refuses)
@@ -111,7 +111,7 @@
   BOOST_TEST(IsRefusedFor(admission.Offer(Id(3), kNow + 1s, kNow),
                           RefusalReason::Leaving));
   BOOST_TEST(admission.Report().running == 1);
-  BOOST_TEST(admission.Finish(1ms, kNow).empty());
+  BOOST_TEST(admission.Finish(FinishedCall(1ms), kNow).empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_target_without_announcements_counts_as_absent)
@@ -160,7 +160,7 @@
   admission.Offer(Id(4), MakeRequest(2s, 500ms, 1), kNow);
   std::vector<CallId> order;
   for (int i = 0; i < 3; ++i) {
-    const auto next = admission.Finish(1ms, kNow + 1ms);
+    const auto next = admission.Finish(FinishedCall(1ms), kNow + 1ms);
     BOOST_REQUIRE(next.size() == 1U);
     order.push_back(next[0].id);
   }
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -213,10 +213,14 @@
 CallServer::OnAnnouncement(const TargetAnnouncement& aAnnouncement)
 {
   const TargetState before = this->admission.State();
+  const std::string instance = this->announcements.Current().instance;
   if (!this->announcements.Accept(aAnnouncement)) {
     Log(kAnnouncementOutdated, aAnnouncement.instance, aAnnouncement.sequence);
     return;
   }
+  if (aAnnouncement.instance != instance) {
+    this->admission.ForgetTarget();
+  }
   this->target.SetTarget(aAnnouncement.address, aAnnouncement.instance);
   this->ApplyDequeued(
     this->admission.Announce(aAnnouncement.announcement, Now()));
@@ -357,7 +361,9 @@
   running.startedAt = Now();
   running.deadline = aWaiting.deadline;
   running.objective = aWaiting.arrivedAt + aWaiting.call.objective;
-  running.slowness = this->admission.Report().slowness / kPercent;
+  const LoadReport load = this->admission.Report();
+  running.slowness = load.slowness / kPercent;
+  running.concurrency = load.running;
   if (aWaiting.call.traced) {
     LogStarted(
       this->ToLoggedCall(aWaiting.call, aWaiting.arrivedAt, aWaiting.deadline),
@@ -397,9 +403,7 @@
     this->UpdateLoad(*result.load);
   }
   const TimePoint now = Now();
-  this->ApplyDequeued(std::holds_alternative<NotRun>(result.outcome)
-                        ? this->admission.ReleaseSlot(now)
-                        : this->admission.Finish(now - ended.startedAt, now));
+  this->ApplyDequeued(this->ReleaseSlot(aCall, result, ended));
   if (std::holds_alternative<Answered>(result.outcome) &&
       this->quarantine.Size() > 0) {
     this->quarantine.RecordCompletion(fingerprint, now);
@@ -408,6 +412,27 @@
   this->SendLoadUpdates();
 }
 
+/// Frees the slot of a call. Returns the waiting calls that start or are refused
+/// now.
+std::vector<DequeuedCall>
+CallServer::ReleaseSlot(const CallMessage& aCall,
+                        const TargetResult& aResult,
+                        const RunningCall& aRun)
+{
+  const TimePoint now = Now();
+  if (std::holds_alternative<NotRun>(aResult.outcome)) {
+    return this->admission.ReleaseSlot(now);
+  }
+  FinishedCall finished(now - aRun.startedAt);
+  finished.concurrency = aRun.concurrency;
+  finished.slowness = aRun.slowness;
+  const auto* answer = std::get_if<Answered>(&aResult.outcome);
+  if (answer != nullptr && IsSuccess(answer->response.status)) {
+    finished.work = aCall.work;
+  }
+  return this->admission.Finish(finished, now);
+}
+
 void
 CallServer::UpdateLoad(const LoadReport& aLoad)
 {
@@ -499,7 +524,8 @@
     id,
     std::move(aResponse),
     this->LoadReportFor(id),
-    std::chrono::duration_cast<Micros>(ran / aRun.slowness),
+    std::chrono::duration_cast<Micros>(
+      ran / (aRun.slowness * this->admission.Crowding(aRun.concurrency))),
     std::chrono::duration_cast<Micros>(now - aRun.arrivedAt)
   };
   connection->frames->Send(message);
--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -34,14 +34,6 @@
   return std::ranges::find(kNotRunStatuses, aStatus) != kNotRunStatuses.end();
 }
 
-bool
-IsSuccess(unsigned aStatus)
-{
-  constexpr unsigned kOk = 200;
-  constexpr unsigned kRedirect = 300;
-  return aStatus >= kOk && aStatus < kRedirect;
-}
-
 /// Time before the announced end of a keep-alive connection from which it is no
 /// longer used.
 constexpr Duration kKeepAliveMargin = 1s;
