Admission: calls in time before late ones, late calls wait for a part of their time

Calls were served in the order of their objective, most of them a little too late: of 15,194 lookups 4,423 in time and 6,841 late. - A call that cannot meet its objective any more starts after all calls that can, whatever its priority, and waits for a quarter of its time at most; it is refused at once if it would wait longer. - The expected wait adds the estimated work of the calls ahead in place of their number; the run time includes how crowded the target is now. - Callers that come back after a refusal are recognised by the time they allow, and their objective counts from their first attempt (EarlierWait). - The concurrency is learned from differences within a short time, since the estimates drift with the load; limits are tried by their promise.

--- a/include/baobab/decision/admission.hpp
+++ b/include/baobab/decision/admission.hpp
@@ -100,12 +100,13 @@
 /// announced, and fewer if the target finishes more calls per second with some
 /// slots free.
 ///
-/// Waiting calls start in this order: by priority; then calls that can
-/// still meet their objective before those that cannot; then by objective and
-/// deadline. While the host is slow, a call that would be late if it started
-/// now, but not after the host has recovered, waits. A call that another
-/// target is expected to finish clearly sooner is refused at once, so that the
-/// sender can place it there.
+/// Waiting calls start in this order: calls that can still meet their objective
+/// before those that cannot; then by priority; then by objective and deadline.
+/// A call that cannot meet its objective any more waits for a part of its time
+/// only, so that its caller learns early that it has to come back. While the
+/// host is slow, a call that would be late if it started now, but not after the
+/// host has recovered, waits. A call that another target is expected to finish
+/// clearly sooner is refused at once, so that the sender can place it there.
 class Admission
 {
 public:
@@ -170,14 +171,25 @@
   {
     AdmissionRequest request;
     TimePoint waitUntil;
+    /// End of the wait if the call cannot meet its objective any more.
+    TimePoint lateUntil;
     CallId id;
   };
 
   bool IsRamping(TimePoint aNow) const;
   std::optional<NotRun> RefusalForState() const;
+  /// Time that a call takes if it starts now, unless the target is crowded.
+  Duration UncrowdedTime(const AdmissionRequest& aRequest) const;
   /// Expected time that a call takes if it starts now.
   Duration RunTime(const AdmissionRequest& aRequest) const;
   Duration ExpectedWait(const AdmissionRequest& aRequest, TimePoint aNow) const;
+  /// True if a call that starts after this wait misses its objective.
+  bool IsLate(const AdmissionRequest& aRequest,
+              Duration aWait,
+              TimePoint aNow) const;
+  bool WaitsTooLongForLate(const WaitingCall& aWaiting,
+                           Duration aWait,
+                           TimePoint aNow) const;
   bool IsOtherTargetFaster(const AdmissionRequest& aRequest,
                            TimePoint aNow) const;
   bool ShouldAwaitRecovery(const AdmissionRequest& aRequest,
@@ -202,6 +214,8 @@
   /// Slowness of the host; 1 is normal speed.
   double slowness = 1;
   UsefulConcurrency concurrency;
+  /// Moving average of the ratio of service time to estimate at normal speed.
+  double crowdedFactor = 1;
   std::vector<WaitingCall> queue;
 };
 
--- a/include/baobab/decision/useful_concurrency.hpp
+++ b/include/baobab/decision/useful_concurrency.hpp
@@ -2,8 +2,6 @@
 /// Learns how many calls a target can usefully run at the same time.
 #pragma once
 
-#include "baobab/core/time.hpp"
-
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -14,15 +12,17 @@
 ///
 /// Load pattern: a target that becomes slower when nearly all of its slots are
 /// busy finishes fewer calls per second with full slots than with some of them
-/// free. For each number of calls that run at the same time, this class keeps
-/// the mean ratio of the service time to the estimated one. The ratio is
-/// assumed not to fall with the number of calls. The limit is the number with
-/// the highest throughput, which is the number divided by its ratio.
+/// free. The limit is the number of calls with the highest throughput, which is
+/// the number divided by the service time at that concurrency.
 ///
-/// The means lose weight as they age. A limit below the slots is therefore
-/// lifted after some time and learned again, which corrects it if the target
-/// has changed. A target that is always full is measured with fewer calls from
-/// time to time, so that there is something to compare with.
+/// Service times also change with the load of the services that the calls use,
+/// and so do the estimates that they are compared with. The logarithm of
+/// service time over estimate is therefore split into a part that all calls
+/// have in common at the moment, which is followed quickly, and the effect of
+/// the concurrency, which is learned slowly and does not fall with the
+/// concurrency. A target that is kept at its limit is tried with more or fewer
+/// calls from time to time if that may turn out better, because only
+/// differences within a short time show the effect.
 class UsefulConcurrency
 {
 public:
@@ -34,31 +34,34 @@
 
   /// Records a call that was answered.
   /// @param aConcurrency calls that ran when it started, including itself
-  /// @param aRatio service time divided by the time that was estimated for a
-  /// host that is neither slow nor crowded
-  void Record(std::uint16_t aConcurrency, double aRatio, TimePoint aNow);
+  /// @param aRatio service time divided by its estimate
+  void Record(std::uint16_t aConcurrency, double aRatio);
 
   /// Calls that the target should run at the same time at most: all slots until
   /// something else has been learned.
-  std::uint16_t Limit() const { return this->limit; }
+  std::uint16_t Limit() const
+  {
+    return this->trialCalls > 0 ? this->trialLimit : this->limit;
+  }
 
-  /// Factor by which the service time grows at this concurrency, compared to a
-  /// single call; at least 1.
+  /// Factor by which the service time grows at this concurrency, compared to
+  /// the lowest one measured; at least 1.
   double Crowding(std::uint16_t aConcurrency) const;
 
 private:
-  /// Mean ratio of the calls that started in a range of concurrency.
+  /// Calls that started in a range of concurrency.
   struct Level
   {
-    double mean = 0;
+    /// Effect on the logarithm of the service time.
+    double effect = 0;
+    /// Calls measured, up to a maximum; 0 if the effect is not known.
     double weight = 0;
-    TimePoint updatedAt;
   };
 
-  /// Ratios of neighbouring levels that are taken as equal.
+  /// Neighbouring levels whose effects are taken as equal.
   struct Block
   {
-    double mean = 0;
+    double effect = 0;
     double weight = 0;
     /// Last level of the block.
     std::size_t last = 0;
@@ -67,19 +70,27 @@
   std::size_t LevelOf(std::uint16_t aConcurrency) const;
   /// Highest concurrency of a level.
   std::uint16_t ConcurrencyOf(std::size_t aLevel) const;
-  std::vector<Block> FitBlocks(TimePoint aNow) const;
-  /// True if calls were measured with nearly all slots busy, and too few with
-  /// fewer to compare them with.
-  bool LacksComparison(TimePoint aNow) const;
-  /// Concurrency at which a full target is measured for comparison.
-  std::uint16_t ComparisonConcurrency() const;
-  void Update(TimePoint aNow);
+  std::uint16_t LowestLimit() const;
+  void AddSample(Level& aLevel, double aFitted, double aSample);
+  std::vector<Block> FitBlocks() const;
+  void UpdateCrowding(const std::vector<Block>& aBlocks);
+  std::uint16_t BestLimit(const std::vector<Block>& aBlocks) const;
+  void UpdateTrial(std::uint16_t aConcurrency);
+  std::uint16_t MostPromisingLimit() const;
 
   std::uint16_t slots = 0;
   std::uint16_t limit = 0;
+  /// Part of the logarithm that all calls have in common at the moment.
+  double common = 0;
+  bool measured = false;
   std::vector<Level> levels;
-  /// Crowding factor by level.
-  std::vector<double> crowding;
+  /// Fitted effect by level; the lowest one is 0.
+  std::vector<double> fitted;
+  /// Limit of the running trial, and calls left in it.
+  std::uint16_t trialLimit = 0;
+  std::size_t trialCalls = 0;
+  /// Calls measured at the limit since the last trial.
+  std::size_t callsAtLimit = 0;
 };
 
 }
--- a/include/baobab/node/route_state.hpp
+++ b/include/baobab/node/route_state.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "baobab/core/time.hpp"
+#include "baobab/decision/earlier_wait.hpp"
 
 #include <atomic>
 #include <cstddef>
@@ -34,6 +35,9 @@
     return this->bytes.load(std::memory_order_relaxed);
   }
 
+  /// Time that callers have waited over earlier attempts.
+  EarlierWait earlierWait;
+
 private:
   /// Adds a sample to an exponential moving average. If two threads update at
   /// once, one sample may be lost.
--- a/src/baobab/decision/admission.cpp
+++ b/src/baobab/decision/admission.cpp
@@ -9,6 +9,9 @@
 /// The newest sample has a weight of 1/kAverageSpan in the moving average.
 constexpr int kAverageSpan = 16;
 
+/// Highest ratio of service time to estimate that is averaged.
+constexpr double kMaxCrowdedFactor = 4;
+
 /// Slowness of the host up to which service times are compared.
 constexpr double kNormalSpeed = 1.1;
 
@@ -25,6 +28,15 @@
 constexpr double kFasterFactor = 1.2;
 constexpr Duration kFasterMargin = 10ms;
 
+/// A call that cannot meet its objective any more waits for this part of the
+/// time that it had on arrival at most. If it has to wait longer, its caller is
+/// told to come back instead.
+constexpr int kLateWaitDivisor = 4;
+
+/// A call counts as late if it would miss its objective when it took longer
+/// than estimated by this factor.
+constexpr double kRunTimeMargin = 1.3;
+
 /// Shortest time after which a refused call is advised to retry.
 constexpr Duration kShortestRetryAfter = 100ms;
 
@@ -94,7 +106,15 @@
     return this->OverloadRefusal("the call cannot finish before its deadline",
                                  wait);
   }
-  this->queue.push_back({ aRequest, aNow + this->limits.queueTime, aId });
+  WaitingCall waiting{ aRequest,
+                       aNow + this->limits.queueTime,
+                       aNow + (aRequest.deadline - aNow) / kLateWaitDivisor,
+                       aId };
+  if (!awaitsRecovery && this->WaitsTooLongForLate(waiting, wait, aNow)) {
+    return this->OverloadRefusal(
+      "the call cannot meet its objective and would wait long", wait);
+  }
+  this->queue.push_back(std::move(waiting));
   return Queued{};
 }
 
@@ -108,10 +128,11 @@
   const bool normalSpeed =
     aCall.slowness <= kNormalSpeed && this->slowness <= kNormalSpeed;
   if (aCall.work > Duration::zero() && normalSpeed && !this->IsRamping(aNow)) {
-    this->concurrency.Record(
-      aCall.concurrency,
-      std::chrono::duration<double>(aCall.serviceTime) / aCall.work,
-      aNow);
+    const double ratio =
+      std::chrono::duration<double>(aCall.serviceTime) / aCall.work;
+    this->concurrency.Record(aCall.concurrency, ratio);
+    this->crowdedFactor +=
+      (std::min(ratio, kMaxCrowdedFactor) - this->crowdedFactor) / kAverageSpan;
   }
   return this->ProcessQueue(aNow);
 }
@@ -218,7 +239,7 @@
 }
 
 Duration
-Admission::RunTime(const AdmissionRequest& aRequest) const
+Admission::UncrowdedTime(const AdmissionRequest& aRequest) const
 {
   return aRequest.work == Duration::zero()
            ? this->serviceTime
@@ -226,6 +247,16 @@
                                                   this->slowness);
 }
 
+Duration
+Admission::RunTime(const AdmissionRequest& aRequest) const
+{
+  return aRequest.work == Duration::zero()
+           ? this->serviceTime
+           : std::chrono::duration_cast<Duration>(
+               this->UncrowdedTime(aRequest) *
+               std::max(1.0, this->crowdedFactor));
+}
+
 Duration
 Admission::ExpectedWait(const AdmissionRequest& aRequest, TimePoint aNow) const
 {
@@ -233,12 +264,35 @@
   if (this->running < usable && this->queue.empty()) {
     return Duration::zero();
   }
-  const WaitingCall entry{ aRequest, TimePoint::max(), {} };
-  const auto ahead =
-    std::ranges::count_if(this->queue, [&](const WaitingCall& aWaiting) {
-      return !this->StartsBefore(entry, aWaiting, aNow);
-    });
-  return this->serviceTime * (ahead + 1) / usable;
+  const WaitingCall entry{ aRequest, TimePoint::max(), TimePoint::max(), {} };
+  Duration ahead = this->serviceTime;
+  for (const WaitingCall& waiting : this->queue) {
+    if (!this->StartsBefore(entry, waiting, aNow)) {
+      ahead += this->RunTime(waiting.request);
+    }
+  }
+  return ahead / usable;
+}
+
+bool
+Admission::IsLate(const AdmissionRequest& aRequest,
+                  Duration aWait,
+                  TimePoint aNow) const
+{
+  return aRequest.objective != TimePoint::max() &&
+         aNow + aWait + this->RunTime(aRequest) * kRunTimeMargin >
+           aRequest.objective;
+}
+
+/// True if a call that has to wait would miss its objective, and would wait
+/// longer than such calls may.
+bool
+Admission::WaitsTooLongForLate(const WaitingCall& aWaiting,
+                               Duration aWait,
+                               TimePoint aNow) const
+{
+  return this->IsLate(aWaiting.request, aWait, aNow) &&
+         aNow + aWait > aWaiting.lateUntil;
 }
 
 bool
@@ -248,8 +302,12 @@
   if (aRequest.alternative == Duration::zero()) {
     return false;
   }
-  const Duration here =
-    this->ExpectedWait(aRequest, aNow) + this->RunTime(aRequest);
+  // The sender's estimate for the other target does not know how crowded that
+  // is, so both are compared without it.
+  const double factor = std::max(1.0, this->crowdedFactor);
+  const auto here = std::chrono::duration_cast<Duration>(
+    this->ExpectedWait(aRequest, aNow) / factor +
+    this->UncrowdedTime(aRequest));
   return here > aRequest.alternative * kFasterFactor + kFasterMargin;
 }
 
@@ -279,11 +337,10 @@
 {
   const auto rank = [&](const WaitingCall& aWaiting) {
     const AdmissionRequest& request = aWaiting.request;
-    const bool tooLate = request.objective != TimePoint::max() &&
-                         aNow + this->RunTime(request) > request.objective;
-    return std::tuple(request.priority,
-                      tooLate,
-                      tooLate ? request.deadline : request.objective,
+    const bool late = this->IsLate(request, Duration::zero(), aNow);
+    return std::tuple(late,
+                      request.priority,
+                      late ? request.deadline : request.objective,
                       request.deadline);
   };
   return rank(aLeft) < rank(aRight);
@@ -294,7 +351,7 @@
 {
   NotRun refusal{ RefusalReason::Overloaded, std::move(aDetail) };
   refusal.retryAfter = std::chrono::duration_cast<Micros>(
-    std::max<Duration>(kShortestRetryAfter, aWait / 2));
+    std::max<Duration>(kShortestRetryAfter, aWait));
   return refusal;
 }
 
@@ -344,18 +401,22 @@
 {
   std::erase_if(this->queue, [&](const WaitingCall& aWaiting) {
     const AdmissionRequest& request = aWaiting.request;
-    const Duration minimum =
-      request.work == Duration::zero() ? this->serviceTime : request.work;
-    const bool late =
-      aWaiting.waitUntil <= aNow || aNow + minimum > request.deadline;
-    if (late) {
+    const Duration minimum = this->ShouldAwaitRecovery(request, aNow)
+                               ? request.work
+                               : this->RunTime(request);
+    const bool refused = aWaiting.waitUntil <= aNow ||
+                         aNow + minimum > request.deadline ||
+                         (aWaiting.lateUntil <= aNow &&
+                          this->IsLate(request, Duration::zero(), aNow) &&
+                          !this->ShouldAwaitRecovery(request, aNow));
+    if (refused) {
       aDequeued.push_back(
         { aWaiting.id,
           this->OverloadRefusal(
             "the call waited too long or cannot finish before its deadline",
             minimum) });
     }
-    return late;
+    return refused;
   });
 }
 
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -44,8 +44,8 @@
   if (answer->response.status >= kServerError) {
     return CallClass::Failed;
   }
-  const Duration objective = aCall.terms.objective - aCall.startedAt;
-  return aLatency > objective ? CallClass::Late : CallClass::Good;
+  return aLatency > aCall.route->spec.objective ? CallClass::Late
+                                                : CallClass::Good;
 }
 
 /// Returns the reason of a call's outcome for the log; empty if it was
@@ -254,6 +254,10 @@
   summary.generation = this->routes.Read(
     [](const RouteTable& aTable) { return aTable.generation; });
   this->stats[aService].Record(summary.idempotent, summary.callClass, latency);
+  if (summary.callClass != CallClass::Good &&
+      summary.callClass != CallClass::Late) {
+    aCall.route->state->earlierWait.RecordFailure(Now());
+  }
   Response response = std::visit(
     Overloaded{
       [](Answered& aAnswered) { return std::move(aAnswered.response); },
--- a/src/baobab/node/ingress_call.cpp
+++ b/src/baobab/node/ingress_call.cpp
@@ -32,12 +32,15 @@
         TimePoint aStartedAt)
 {
   Duration time = aRoute.spec.timeout;
+  Duration waitedBefore = Duration::zero();
   if (const auto callerTimeout = CallerTimeout(aRequest, aDeadlineHeader)) {
     time = std::min<Duration>(time, *callerTimeout);
+    waitedBefore =
+      aRoute.state->earlierWait.Observe(*callerTimeout, aStartedAt);
   }
   CallTerms terms;
   terms.deadline = aStartedAt + time;
-  terms.objective = aStartedAt + aRoute.spec.objective;
+  terms.objective = aStartedAt + aRoute.spec.objective - waitedBefore;
   terms.priority = static_cast<std::uint8_t>(aRoute.spec.priority);
   terms.idempotent = IsIdempotent(
     aRoute.spec, aRoute.owner->spec, aRequest.method, aRequest.target);
