--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -243,6 +243,17 @@
               LogField{ "error", "cause" } }
 };
 
+inline constexpr LogEvent kStoreEntryInvalid{
+  "store_entry_invalid",
+  "store",
+  LogLevel::Warning,
+  LogDropPolicy::DropFirst,
+  "An entry of a list of the object store could not be parsed and is left "
+  "out. Logged once for each name.",
+  std::array{ LogField{ "name", "name of the entry, if it can be read" },
+              LogField{ "reason", "why it cannot be parsed" } }
+};
+
 inline constexpr LogEvent kLinkLost{
   "link_lost",
   "link",
--- a/src/baobab/net/log_events.cpp
+++ b/src/baobab/net/log_events.cpp
@@ -31,6 +31,7 @@
         kPeersMissing,
         kStatusInvalid,
         kLinkConnectFailed,
+        kStoreEntryInvalid,
         kLinkLost,
         kPeerMessageInvalid,
         kCallAttempt,
