Daemon: fewer wake-ups while nothing waits

Cause: an idle daemon woke 250 times a second, for ticks of 10 ms (admission), 50 ms (deadlines of each of four HTTP servers) and 50 ms (stop of two threads). Admission ticks every 10 ms only while calls wait, deadlines are checked when the next one is due, every 50 to 200 ms.

--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -93,6 +93,8 @@
     }
   }
 
+  TimePoint Deadline() const { return this->deadline; }
+
 private:
   void SetDeadline(Duration aTime)
   {
@@ -298,9 +300,17 @@
 void
 RunDeadlineChecks(const std::shared_ptr<const Connections>& aConnections)
 {
-  constexpr Duration kPeriod = 50ms;
+  // A new connection may be checked late by the longest period.
+  constexpr Duration kShortestPeriod = 50ms;
+  constexpr Duration kLongestPeriod = 200ms;
   while (aConnections->accepting || !aConnections->open.empty()) {
-    boost::this_fiber::sleep_for(kPeriod);
+    TimePoint next = TimePoint::max();
+    for (const Connection* connection : aConnections->open) {
+      next = std::min(next, connection->Deadline());
+    }
+    const TimePoint before = Now();
+    boost::this_fiber::sleep_until(
+      std::clamp(next, before + kShortestPeriod, before + kLongestPeriod));
     const TimePoint now = Now();
     std::ranges::for_each(aConnections->open, [&](Connection* aConnection) {
       aConnection->CheckDeadline(now);
--- a/src/baobab/net/worker.cpp
+++ b/src/baobab/net/worker.cpp
@@ -6,7 +6,7 @@
 namespace baobab {
 namespace {
 
-constexpr std::chrono::milliseconds kStopCheckPeriod{ 50 };
+constexpr std::chrono::milliseconds kStopCheckPeriod{ 100 };
 
 }
 
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -24,6 +24,7 @@
 namespace baobab {
 namespace {
 
+/// Period of the timers while calls wait.
 constexpr Duration kTickPeriod = 10ms;
 constexpr Duration kRefreshPeriod = 50ms;
 constexpr Duration kRetryLogPeriod = 1s;
@@ -254,7 +255,8 @@
     TimePoint nextRefresh = Now();
     TimePoint nextRetryLog = Now();
     while (true) {
-      const TimePoint due = Now() + kTickPeriod;
+      const bool waiting = this->calls.AdmissionControl().Report().queued > 0;
+      const TimePoint due = Now() + (waiting ? kTickPeriod : kRefreshPeriod);
       boost::this_fiber::sleep_until(due);
       this->timerDelays.Record(Now() - due);
       this->calls.Tick();
