Admission: priority first again, and calls with large answers wait for a full link

Load patterns: - Calls that targets make have short objectives and are soon late, while the calls that made them are not. In a burst more calls started than the link carries; connections failed after 500 ms for seconds, and sidecar-craiova-b-19 adopted version 8 4.6 s late (CONFIG). Calls carry the expected size of their answer; large ones wait while the link is taken for 150 ms (LinkLoad, link_mbps from the platform's settings). A call that may start no longer queues behind calls that wait for something else.

--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -161,6 +161,8 @@
   std::int64_t callerConnections = 10000;
   /// Maximum size of a request header.
   std::int64_t headerBytes = 16384;
+  /// Rate of the host's network link in Mbit/s; 0: not known.
+  double linkMbps = 0;
   std::string logFormat = "json";
   std::string logLevel = "info";
   Timeouts timeouts;
--- a/include/baobab/decision/admission.hpp
+++ b/include/baobab/decision/admission.hpp
@@ -7,6 +7,7 @@
 #include "baobab/core/outcome.hpp"
 #include "baobab/core/target_state.hpp"
 #include "baobab/core/time.hpp"
+#include "baobab/decision/link_load.hpp"
 #include "baobab/decision/useful_concurrency.hpp"
 
 #include <cstdint>
@@ -58,6 +59,8 @@
   /// Estimated time in which the best other target would finish the call; 0 if
   /// there is none.
   Duration alternative = Duration::zero();
+  /// Expected size of the answer; 0 if not known.
+  std::int64_t answerBytes = 0;
 };
 
 /// A call that the target has run.
@@ -100,8 +103,8 @@
 /// announced, and fewer if the target finishes more calls per second with some
 /// slots free.
 ///
-/// Waiting calls start in this order: calls that can still meet their objective
-/// before those that cannot; then by priority; then by objective and deadline.
+/// Waiting calls start in this order: by priority; then calls that can still meet
+/// their objective before those that cannot; then by objective and deadline.
 /// A call that cannot meet its objective any more waits for a part of its time
 /// only, so that its caller learns early that it has to come back. While the
 /// host is slow, a call that would be late if it started now, but not after the
@@ -112,6 +115,12 @@
 public:
   explicit Admission(AdmissionLimits aLimits = {});
 
+  /// Sets the rate of the host's link, in bytes per second; 0: not known.
+  void SetLinkRate(double aBytesPerSecond)
+  {
+    this->link.SetRate(aBytesPerSecond);
+  }
+
   void SetLimits(AdmissionLimits aLimits) { this->limits = aLimits; }
 
   /// Applies an announcement. Refuses the waiting calls if the target is not
@@ -192,6 +201,10 @@
                            TimePoint aNow) const;
   bool IsOtherTargetFaster(const AdmissionRequest& aRequest,
                            TimePoint aNow) const;
+  /// True if the call need not wait for anything but a free slot.
+  bool MayStart(const AdmissionRequest& aRequest, TimePoint aNow) const;
+  /// True if the answer is large and has to wait for the link.
+  bool ShouldAwaitLink(const AdmissionRequest& aRequest, TimePoint aNow) const;
   bool ShouldAwaitRecovery(const AdmissionRequest& aRequest,
                            TimePoint aNow) const;
   bool StartsBefore(const WaitingCall& aLeft,
@@ -216,6 +229,7 @@
   UsefulConcurrency concurrency;
   /// Moving average of the ratio of service time to estimate at normal speed.
   double crowdedFactor = 1;
+  LinkLoad link;
   std::vector<WaitingCall> queue;
 };
 
--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -55,6 +55,8 @@
   Duration alternative = Duration::zero();
   /// True if every step of the call is logged, however it ends.
   bool traced = false;
+  /// Expected size of the answer; 0 if not known.
+  std::int64_t answerBytes = 0;
 };
 
 /// Identifies a worker to the daemons that it calls.
--- a/include/baobab/wire/peer_message.hpp
+++ b/include/baobab/wire/peer_message.hpp
@@ -56,6 +56,8 @@
   Micros alternative{ 0 };
   /// True if every step of the call is logged.
   bool traced = false;
+  /// Expected size of the answer; 0 if unknown.
+  std::uint64_t answerBytes = 0;
 };
 
 struct AnswerMessage
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -202,6 +202,14 @@
       { 1024, 1 << 20 },
       "bytes",
       "Maximum size of a request header."),
+    RealField<S>(
+      "link_mbps",
+      [](S& s) -> auto& { return s.linkMbps; },
+      0,
+      1000000,
+      "Mbit/s",
+      "Rate of the host's network link. Calls with large answers wait while the "
+      "link is full; 0: not known."),
     EnumField<S, std::string>(
       "log.format",
       [](S& s) -> auto& { return s.logFormat; },
--- a/src/baobab/decision/admission.cpp
+++ b/src/baobab/decision/admission.cpp
@@ -37,6 +37,14 @@
 /// than estimated by this factor.
 constexpr double kRunTimeMargin = 1.3;
 
+/// Answers of at least this size wait for the link; smaller ones fit between
+/// them.
+constexpr std::int64_t kLargeAnswer = 8192;
+
+/// Time that the link may need for the answers of calls that run. Longer queues
+/// on the link delay all traffic of the host.
+constexpr Duration kMaxLinkBacklog = 150ms;
+
 /// Shortest time after which a refused call is advised to retry.
 constexpr Duration kShortestRetryAfter = 100ms;
 
@@ -87,15 +95,24 @@
                                  Duration::zero());
   }
   const bool awaitsRecovery = this->ShouldAwaitRecovery(aRequest, aNow);
-  if (this->running < this->UsableSlots(aNow) && this->queue.empty() &&
-      !awaitsRecovery) {
+  const bool otherMayStart =
+    std::ranges::any_of(this->queue, [&](const WaitingCall& aWaiting) {
+      return this->MayStart(aWaiting.request, aNow);
+    });
+  if (this->running < this->UsableSlots(aNow) && !otherMayStart &&
+      this->MayStart(aRequest, aNow)) {
     ++this->running;
+    this->link.Add(aRequest.answerBytes, aNow);
     return StartNow{};
   }
   if (this->queue.size() >= this->limits.queueLength) {
     return this->OverloadRefusal("the queue is full", this->serviceTime);
   }
-  const Duration wait = this->ExpectedWait(aRequest, aNow);
+  const Duration wait =
+    std::max(this->ExpectedWait(aRequest, aNow),
+             this->ShouldAwaitLink(aRequest, aNow)
+               ? this->link.Backlog(aNow) - kMaxLinkBacklog
+               : Duration::zero());
   if (wait > this->limits.queueTime) {
     return this->OverloadRefusal("the expected wait in the queue is too long",
                                  wait);
@@ -311,6 +328,21 @@
   return here > aRequest.alternative * kFasterFactor + kFasterMargin;
 }
 
+bool
+Admission::MayStart(const AdmissionRequest& aRequest, TimePoint aNow) const
+{
+  return !this->ShouldAwaitRecovery(aRequest, aNow) &&
+         !this->ShouldAwaitLink(aRequest, aNow);
+}
+
+bool
+Admission::ShouldAwaitLink(const AdmissionRequest& aRequest,
+                           TimePoint aNow) const
+{
+  return aRequest.answerBytes >= kLargeAnswer &&
+         this->link.Backlog(aNow) > kMaxLinkBacklog;
+}
+
 /// True if a call that starts now would miss its objective or its deadline, and
 /// one that starts when the host has recovered would probably meet it.
 bool
@@ -338,8 +370,8 @@
   const auto rank = [&](const WaitingCall& aWaiting) {
     const AdmissionRequest& request = aWaiting.request;
     const bool late = this->IsLate(request, Duration::zero(), aNow);
-    return std::tuple(late,
-                      request.priority,
+    return std::tuple(request.priority,
+                      late,
                       late ? request.deadline : request.objective,
                       request.deadline);
   };
@@ -380,7 +412,7 @@
          ++waiting) {
       const bool better =
         best == this->queue.end() || this->StartsBefore(*waiting, *best, aNow);
-      if (better && !this->ShouldAwaitRecovery(waiting->request, aNow)) {
+      if (better && this->MayStart(waiting->request, aNow)) {
         best = waiting;
       }
     }
@@ -388,6 +420,7 @@
       break;
     }
     dequeued.push_back({ best->id, StartNow{} });
+    this->link.Add(best->request.answerBytes, aNow);
     this->queue.erase(best);
     ++this->running;
   }
--- a/src/baobab/node/attempt_runner.cpp
+++ b/src/baobab/node/attempt_runner.cpp
@@ -130,6 +130,7 @@
   CallTerms terms = aCall.terms;
   terms.work = EstimatedWork(aCall);
   terms.alternative = aChosen.alternative;
+  terms.answerBytes = aCall.route->state->AnswerBytes();
   AttemptResult result =
     this->links.Get(target.endpoint)->Run(aCall.request, terms, &aCancellation);
   target.load.EndAttempt();
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -16,6 +16,9 @@
 namespace baobab {
 namespace {
 
+/// Largest expected size of an answer that is accepted from a sender.
+constexpr std::uint64_t kMaxAnswerBytes = 64U << 20U;
+
 AdmissionLimits
 AdmissionLimitsOf(const ServiceSpec& aSpec, const Settings& aSettings)
 {
@@ -39,6 +42,8 @@
     return this->SuspicionLifetime();
   })
 {
+  constexpr double kBytesPerMegabit = 1e6 / 8;
+  this->admission.SetLinkRate(aSettings.linkMbps * kBytesPerMegabit);
   this->crashDetector.onSuspectsChanged = [this] {
     if (this->onSuspectsChanged) {
       this->onSuspectsChanged();
@@ -104,6 +109,8 @@
   admissionRequest.priority = aCall.priority;
   admissionRequest.work = aCall.work;
   admissionRequest.alternative = aCall.alternative;
+  admissionRequest.answerBytes = static_cast<std::int64_t>(
+    std::min<std::uint64_t>(aCall.answerBytes, kMaxAnswerBytes));
   const AdmissionDecision decision =
     this->admission.Offer(id, admissionRequest, now);
   std::visit(Overloaded{
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -119,7 +119,8 @@
         std::chrono::duration_cast<Micros>(aPending.terms.objective - Now()),
         std::chrono::duration_cast<Micros>(aPending.terms.work),
         std::chrono::duration_cast<Micros>(aPending.terms.alternative),
-        aPending.terms.traced });
+        aPending.terms.traced,
+        static_cast<std::uint64_t>(aPending.terms.answerBytes) });
       break;
     case AttemptAction::SendAsk:
       this->connection->Send(
--- a/src/baobab/wire/peer_decode.cpp
+++ b/src/baobab/wire/peer_decode.cpp
@@ -115,6 +115,7 @@
   message.work = ToMicros(aCall.work_us());
   message.alternative = ToMicros(aCall.alternative_us());
   message.traced = aCall.traced();
+  message.answerBytes = aCall.answer_bytes();
   return PeerMessage(std::move(message));
 }
 
--- a/src/baobab/wire/peer_encode.cpp
+++ b/src/baobab/wire/peer_encode.cpp
@@ -118,7 +118,8 @@
                           aMessage.objective.count(),
                           ToWireMicros(aMessage.work),
                           ToWireMicros(aMessage.alternative),
-                          aMessage.traced)
+                          aMessage.traced,
+                          aMessage.answerBytes)
              .Union() };
 }
 
