HTTP: bytes without end neither hang a call nor fill the memory

Seen with the new tests, before the change: a chunk extension without end was buffered without limit (134 MB sent in two calls of one second), and interim responses without end were discarded forever, long past the deadline of the call, because the stream's timeout only ends reads that have to wait. A client now checks its deadline before each read, discards eight responses at most, and buffers 128 KB at most; the server buffers 1.1 MB at most. Heads, header lines, bodies with and without chunks, trailers and bytes that are no HTTP were bounded already.

--- a/src/baobab/net/http_client.cpp
+++ b/src/baobab/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "baobab/net/http_client.hpp"
 
+#include "baobab/net/clock.hpp"
 #include "http_convert.hpp"
 
 #include <boost/beast/core.hpp>
@@ -10,6 +11,14 @@
 
 namespace beast = boost::beast;
 
+/// Bytes that are buffered at most. Only parts of a message that cannot be
+/// parsed yet are kept: lines of the head, of chunks and of trailers.
+constexpr std::size_t kMaxBufferBytes = 128U << 10U;
+
+/// Responses that are discarded for one request at most, because they belong to
+/// another one.
+constexpr int kMaxDiscarded = 8;
+
 /// Parses `Keep-Alive: timeout=SECONDS`.
 Duration
 KeepAliveTimeoutOf(const http::response<http::string_body>& aMessage)
@@ -45,6 +54,7 @@
     this->responseStarted = false;
     this->keepAlive = false;
     this->stream.expires_after(aOptions.timeout);
+    this->deadline = Now() + aOptions.timeout;
     http::request<http::span_body<const char>> message;
     message.method_string(aRequest.method);
     message.target(aRequest.target);
@@ -65,21 +75,20 @@
     if (!written) {
       return this->Fail(written.error);
     }
-    bool discarded = false;
-    while (true) {
+    for (int discarded = 0; discarded <= kMaxDiscarded; ++discarded) {
       auto response =
         this->ReadResponse(aRequest.method, aOptions.maxResponseBytes);
       if (!Succeeded(response) || !aOptions.matchesRequest ||
           aOptions.matchesRequest(Value(response))) {
-        this->keepAlive = this->keepAlive && !discarded;
+        this->keepAlive = this->keepAlive && discarded == 0;
         this->stream.expires_never();
         return response;
       }
       if (!this->keepAlive) {
-        return this->Fail(http::error::end_of_stream);
+        break;
       }
-      discarded = true;
     }
+    return this->Fail(http::error::end_of_stream);
   }
 
   Duration KeepAliveTimeout() const override { return this->keepAliveTimeout; }
@@ -102,6 +111,10 @@
     parser.skip(aMethod == "HEAD");
     IoResult read;
     do {
+      // The stream's own timeout only ends a read that has to wait for bytes.
+      if (Now() >= this->deadline) {
+        return this->Fail(beast::error::timeout);
+      }
       read = Await([&](auto aHandler) {
         http::async_read_some(this->stream, this->buffer, parser, aHandler);
       });
@@ -139,7 +152,8 @@
   }
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{ kMaxBufferBytes };
+  TimePoint deadline;
   std::string host;
   bool keepAlive = true;
   bool responseStarted = false;
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -21,6 +21,10 @@
 
 constexpr std::size_t kReadBytes = 4096;
 
+/// Bytes that are buffered at most: the largest head that can be configured,
+/// and as much as is read at once. A chunk extension has no other limit.
+constexpr std::size_t kMaxBufferBytes = (1U << 20U) + (128U << 10U);
+
 /// Bytes that are still read from a client after an error response, so that it
 /// can read the response before the connection is closed.
 constexpr std::size_t kLingerBytes = 1 << 20;
@@ -277,7 +281,7 @@
   }
 
   Tcp::socket stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{ kMaxBufferBytes };
   const HttpLimits& serverLimits;
   HttpLimits limits;
   const HttpHandler& handler;
--- a/src/baobab/net/http_server_test.cpp
+++ b/src/baobab/net/http_server_test.cpp
@@ -144,6 +144,43 @@
   BOOST_TEST((error == HttpRequestError::BodyTooLarge));
 }
 
+/// A caller that never ends a request must not take the memory of the daemon.
+BOOST_AUTO_TEST_CASE(requests_without_end_are_rejected_and_closed)
+{
+  const std::string chunked =
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::pair<std::string, std::string> requests[] = {
+    { "GET / HTTP/1.1\r\nHost: h\r\n", "X-Header: value\r\n" },
+    { "GET / HTTP/1.1\r\nX-Header: ", std::string(1000, 'x') },
+    { chunked, "5\r\nhello\r\n" },
+    { chunked + "5;", std::string(1000, 'x') },
+    { chunked + "0\r\n", "X-Trailer: value\r\n" },
+    { "", std::string(1000, '\1') },
+  };
+  for (const auto& [start, repeated] : requests) {
+    TestServer server;
+    server.limits.headerTimeout = 1s;
+    server.limits.bodyTimeout = 1s;
+    std::size_t sent = 0;
+    server.Run([&](Tcp::socket& aCaller) {
+      std::string bytes = start;
+      while (true) {
+        const IoResult written = Await([&](auto aHandler) {
+          boost::asio::async_write(
+            aCaller, boost::asio::buffer(bytes), aHandler);
+        });
+        if (!written) {
+          break;
+        }
+        sent += written.bytes;
+        bytes = repeated;
+      }
+    });
+    // What the server buffers, and what the sockets of both sides hold.
+    BOOST_TEST(sent < (32U << 20U), repeated.substr(0, 10));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
