--- a/include/baobab/decision/admission.hpp
+++ b/include/baobab/decision/admission.hpp
@@ -103,13 +103,14 @@
 /// announced, and fewer if the target finishes more calls per second with some
 /// slots free.
 ///
-/// Waiting calls start in this order: by priority; then calls that can still meet
-/// their objective before those that cannot; then by objective and deadline.
-/// A call that cannot meet its objective any more waits for a part of its time
-/// only, so that its caller learns early that it has to come back. While the
-/// host is slow, a call that would be late if it started now, but not after the
-/// host has recovered, waits. A call that another target is expected to finish
-/// clearly sooner is refused at once, so that the sender can place it there.
+/// Waiting calls start in this order: by priority; then calls that can still
+/// meet their objective before those that cannot; then by objective and
+/// deadline. A call that cannot meet its objective any more waits for a part of
+/// its time only, so that its caller learns early that it has to come back.
+/// While the host is slow, a call that would be late if it started now, but not
+/// after the host has recovered, waits. A call that another target is expected
+/// to finish clearly sooner is refused at once, so that the sender can place it
+/// there.
 class Admission
 {
 public:
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -208,7 +208,8 @@
       0,
       1000000,
       "Mbit/s",
-      "Rate of the host's network link. Calls with large answers wait while the "
+      "Rate of the host's network link. Calls with large answers wait while "
+      "the "
       "link is full; 0: not known."),
     EnumField<S, std::string>(
       "log.format",
@@ -339,9 +340,9 @@
   ShutdownTimes times{ aTimeouts.leave, aTimeouts.drain };
   if (aTimeouts.graceSeconds > 0) {
     const std::chrono::duration<double> grace(aTimeouts.graceSeconds);
-    times.drain = std::min(
-      times.drain,
-      std::chrono::duration_cast<Duration>(grace * kDrainFraction));
+    times.drain =
+      std::min(times.drain,
+               std::chrono::duration_cast<Duration>(grace * kDrainFraction));
   }
   times.leave = std::min(times.leave, times.drain / 2);
   return times;
--- a/src/baobab/decision/admission.cpp
+++ b/src/baobab/decision/admission.cpp
@@ -108,11 +108,10 @@
   if (this->queue.size() >= this->limits.queueLength) {
     return this->OverloadRefusal("the queue is full", this->serviceTime);
   }
-  const Duration wait =
-    std::max(this->ExpectedWait(aRequest, aNow),
-             this->ShouldAwaitLink(aRequest, aNow)
-               ? this->link.Backlog(aNow) - kMaxLinkBacklog
-               : Duration::zero());
+  const Duration wait = std::max(this->ExpectedWait(aRequest, aNow),
+                                 this->ShouldAwaitLink(aRequest, aNow)
+                                   ? this->link.Backlog(aNow) - kMaxLinkBacklog
+                                   : Duration::zero());
   if (wait > this->limits.queueTime) {
     return this->OverloadRefusal("the expected wait in the queue is too long",
                                  wait);
@@ -131,7 +130,7 @@
     return this->OverloadRefusal(
       "the call cannot meet its objective and would wait long", wait);
   }
-  this->queue.push_back(std::move(waiting));
+  this->queue.push_back(waiting);
   return Queued{};
 }
 
--- a/src/baobab/decision/admission_test.cpp
+++ b/src/baobab/decision/admission_test.cpp
@@ -275,8 +275,8 @@
   BOOST_TEST(admission.AnnouncedSlots() == 9);
 }
 
-/// A target on a narrow link returns large answers. Calls for them start as fast
-/// as the link can carry them; small answers and other calls go on.
+/// A target on a narrow link returns large answers. Calls for them start as
+/// fast as the link can carry them; small answers and other calls go on.
 BOOST_AUTO_TEST_CASE(large_answers_do_not_fill_a_narrow_link)
 {
   AdmissionLimits limits;
--- a/src/baobab/decision/link_load.cpp
+++ b/src/baobab/decision/link_load.cpp
@@ -19,8 +19,8 @@
   }
   const std::chrono::duration<double> time(static_cast<double>(aBytes) /
                                            (this->rate * kAnswerFraction));
-  this->freeAt = std::max(this->freeAt, aNow) +
-                 std::chrono::duration_cast<Duration>(time);
+  this->freeAt =
+    std::max(this->freeAt, aNow) + std::chrono::duration_cast<Duration>(time);
 }
 
 Duration
--- a/src/baobab/decision/useful_concurrency.cpp
+++ b/src/baobab/decision/useful_concurrency.cpp
@@ -206,7 +206,7 @@
     return;
   }
   if (aConcurrency < this->limit ||
-      ++this->callsAtLimit < kTrialInterval + 2U * this->slots) {
+      ++this->callsAtLimit < kTrialInterval + std::size_t{ 2 } * this->slots) {
     return;
   }
   this->callsAtLimit = 0;
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -419,8 +419,8 @@
   this->SendLoadUpdates();
 }
 
-/// Frees the slot of a call. Returns the waiting calls that start or are refused
-/// now.
+/// Frees the slot of a call. Returns the waiting calls that start or are
+/// refused now.
 std::vector<DequeuedCall>
 CallServer::ReleaseSlot(const CallMessage& aCall,
                         const TargetResult& aResult,
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -326,9 +326,10 @@
   void PublishTargetState()
   {
     const std::uint64_t before = this->membership.Version();
-    this->membership.UpdateSelf(this->calls.AdmissionControl().Service(),
-                                this->calls.State(),
-                                this->calls.AdmissionControl().AnnouncedSlots());
+    this->membership.UpdateSelf(
+      this->calls.AdmissionControl().Service(),
+      this->calls.State(),
+      this->calls.AdmissionControl().AnnouncedSlots());
     if (this->membership.Version() != before) {
       this->gossip.Send(this->membership.PushUpdates());
     }
