Gossip: suspicions at an unaligned address are refused

The case came up because frames got a field, which shifted the random mutations of the datagrams; the fault is older. The test that found it passes now.

--- a/src/baobab/wire/gossip_codec.cpp
+++ b/src/baobab/wire/gossip_codec.cpp
@@ -95,6 +95,12 @@
     }
   }
   if (gossip.suspicions() != nullptr) {
+    // The verifier does not check the alignment of structures in a vector.
+    const auto address =
+      reinterpret_cast<std::uintptr_t>(gossip.suspicions()->Data());
+    if (address % alignof(wire::fb::Suspect) != 0) {
+      return BadMessageError("the suspicions are not aligned");
+    }
     for (const wire::fb::Suspect* suspect : *gossip.suspicions()) {
       if (!std::isfinite(suspect->weight())) {
         return BadMessageError(
