Gossip: what is dropped is counted by reason and logged

Nothing told of the refused datagrams but one counter. Found dropped without a word besides: datagrams that the system refused to send (counted as sent), updates cut from a datagram, failed exchanges of tables, seed lists that could not be written, and lines in them that are no address. Metrics: gossip_refused_total and gossip_unsent_total by reason beside the sums.

--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -214,6 +214,54 @@
               LogField{ "error", "cause" } }
 };
 
+inline constexpr LogEvent kGossipRefused{
+  "gossip_refused",
+  "members",
+  LogLevel::Warning,
+  LogDropPolicy::DropFirst,
+  "Gossip datagrams of other daemons could not be used.",
+  std::array{ LogField{ "reason", "what was wrong with them" },
+              LogField{ "datagrams", "number since the last such line" } }
+};
+
+inline constexpr LogEvent kGossipUnsent{
+  "gossip_unsent",
+  "members",
+  LogLevel::Warning,
+  LogDropPolicy::DropFirst,
+  "Gossip datagrams were not sent, or not as a whole.",
+  std::array{ LogField{ "reason", "why" },
+              LogField{ "datagrams", "number since the last such line" } }
+};
+
+inline constexpr LogEvent kExchangeFailed{
+  "exchange_failed",
+  "members",
+  LogLevel::Info,
+  LogDropPolicy::DropFirst,
+  "A full exchange of the member tables failed; another peer is asked later.",
+  std::array{ LogField{ "peer", "address of the daemon" },
+              LogField{ "error", "cause" } }
+};
+
+inline constexpr LogEvent kSeedsNotWritten{
+  "seeds_not_written",
+  "members",
+  LogLevel::Warning,
+  LogDropPolicy::DropLast,
+  "The zone's list of seed peers could not be written; it is tried again.",
+  std::array{ LogField{ "error", "cause" } }
+};
+
+inline constexpr LogEvent kSeedInvalid{
+  "seed_invalid",
+  "members",
+  LogLevel::Warning,
+  LogDropPolicy::DropFirst,
+  "A line of a list of seed peers is no address and is ignored.",
+  std::array{ LogField{ "error", "cause" } }
+};
+
 inline constexpr LogEvent kPeersMissing{
   "peers_missing",
   "members",
--- a/include/baobab/node/gossip_agent.hpp
+++ b/include/baobab/node/gossip_agent.hpp
@@ -5,8 +5,10 @@
 #include "baobab/decision/membership.hpp"
 #include "baobab/decision/quarantine.hpp"
 #include "baobab/net/frame_connection.hpp"
+#include "baobab/net/log_events.hpp"
 #include "baobab/net/store.hpp"
 #include "baobab/node/control_pacer.hpp"
+#include "baobab/node/drop_counter.hpp"
 
 #include <functional>
 #include <memory>
@@ -21,9 +23,9 @@
   std::uint64_t received = 0;
   std::uint64_t receivedBytes = 0;
   /// Received datagrams that could not be decoded.
-  std::uint64_t invalid = 0;
-  /// Datagrams not sent because they exceeded the control budget.
-  std::uint64_t dropped = 0;
+  DropCounter refused{ kGossipRefused };
+  /// Datagrams that were not sent, or not with all their updates.
+  DropCounter unsent{ kGossipUnsent };
   /// Full table exchanges that this daemon started.
   std::uint64_t exchanges = 0;
 };
@@ -75,11 +77,11 @@
 
 private:
   void Handle(std::span<const std::uint8_t> aBytes);
-  void Exchange(const Endpoint& aPeer);
   bool ReadSeeds();
   bool IsSeedWriter() const;
   void WriteSeeds();
   void ContactSeeds(std::string_view aText);
+  Result<Done> Exchange(const Endpoint& aPeer);
 
   boost::asio::io_context& context;
   Membership& membership;
--- a/src/baobab/node/daemon_metrics.cpp
+++ b/src/baobab/node/daemon_metrics.cpp
@@ -17,6 +17,15 @@
            static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
 }
 
+void
+AddDrops(MetricsPage& aPage, std::string_view aName, const DropCounter& aDrops)
+{
+  for (const auto& [reason, drops] : aDrops.Reasons()) {
+    aPage.Add(
+      aName, "reason=\"" + reason + "\"", static_cast<double>(drops.total));
+  }
+}
+
 void
 AddBudgetMetrics(MetricsPage& aPage, const ServiceRoute& aRoute)
 {
@@ -51,8 +60,10 @@
   add("gossip_sent_bytes_total", counts.sentBytes);
   add("gossip_received_total", counts.received);
   add("gossip_received_bytes_total", counts.receivedBytes);
-  add("gossip_invalid_total", counts.invalid);
-  add("gossip_left_out_total", counts.dropped);
+  add("gossip_invalid_total", counts.refused.Total());
+  add("gossip_left_out_total", counts.unsent.Total());
+  AddDrops(aPage, "gossip_refused_total", counts.refused);
+  AddDrops(aPage, "gossip_unsent_total", counts.unsent);
   add("gossip_exchanges_total", counts.exchanges);
   add("control_spent_bytes_total", aStats.controlBytes);
   add("store_calls_total", aStats.storeCalls);
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -104,7 +104,7 @@
   this->counts.receivedBytes += aBytes.size();
   auto message = DecodeGossip(aBytes);
   if (!Succeeded(message)) {
-    ++this->counts.invalid;
+    this->counts.refused.Record(Failure(message).message, Now());
     return;
   }
   const GossipMessage& gossip = Value(message);
@@ -137,16 +137,23 @@
     send.message.suspicions =
       this->quarantine.SelectForDatagram(kMaxSuspicionsPerDatagram, Now());
     std::string bytes = EncodeGossip(send.message);
+    if (bytes.size() > kMaxDatagramBytes) {
+      this->counts.unsent.Record("updates do not fit into a datagram", Now());
+    }
     while (bytes.size() > kMaxDatagramBytes && !send.message.updates.empty()) {
       send.message.updates.resize(send.message.updates.size() / 2);
       bytes = EncodeGossip(send.message);
     }
     if (!this->pacer.TrySpend(bytes.size())) {
-      ++this->counts.dropped;
+      this->counts.unsent.Record("exceeds the control budget", Now());
       continue;
     }
     boost::system::error_code error;
     this->socket.send_to(asio::buffer(bytes), ToUdp(send.to), 0, error);
+    if (error) {
+      this->counts.unsent.Record(error.message(), Now());
+      continue;
+    }
     ++this->counts.sent;
     this->counts.sentBytes += bytes.size();
   }
@@ -166,12 +173,15 @@
     }
     last = Now();
     if (const auto peer = this->membership.PickExchangePeer()) {
-      this->Exchange(*peer);
+      if (const auto done = this->Exchange(*peer); !Succeeded(done)) {
+        Log(kExchangeFailed, *peer, Failure(done));
+      }
     }
   }
 }
 
-void
+/// Requests the records of a peer in which its table differs from this one.
+Result<Done>
 GossipAgent::Exchange(const Endpoint& aPeer)
 {
   auto opened = Connect(this->context,
@@ -179,7 +189,7 @@
                         this->settings.timeouts.connect,
                         this->settings.peers.address);
   if (!Succeeded(opened)) {
-    return;
+    return Failure(opened);
   }
   ++this->counts.exchanges;
   const auto frames =
@@ -191,10 +201,16 @@
   while (true) {
     auto reply = frames->Read();
     if (!Succeeded(reply)) {
-      break;
+      return Failure(reply);
     }
     const auto* list = std::get_if<MemberListMessage>(&Value(reply));
-    if (list == nullptr || list->members.empty()) {
+    if (list == nullptr) {
+      frames->Close();
+      return Error{ ErrorKind::BadMessage,
+                    "peer answered a table request with another message",
+                    "" };
+    }
+    if (list->members.empty()) {
       break;
     }
     for (const MemberRecord& member : list->members) {
@@ -202,6 +218,7 @@
     }
   }
   frames->Close();
+  return Done{};
 }
 
 void
@@ -285,6 +302,7 @@
   const std::string key = SeedKey(locality.region, locality.zone);
   auto object = this->store->Get(key);
   if (!Succeeded(object)) {
+    Log(kSeedsNotWritten, Failure(object));
     return;
   }
   PutCondition condition;
@@ -300,7 +318,10 @@
     text += ToString(member) + "\n";
   }
   if (!Value(object) || Value(object)->value != text) {
-    this->store->Put(key, text, condition);
+    const auto written = this->store->Put(key, text, condition);
+    if (!Succeeded(written)) {
+      Log(kSeedsNotWritten, Failure(written));
+    }
   }
 }
 
@@ -310,7 +331,11 @@
   std::istringstream lines{ std::string(aText) };
   for (std::string line; std::getline(lines, line);) {
     const auto endpoint = ParseEndpoint(line);
-    if (Succeeded(endpoint) && !this->membership.Knows(Value(endpoint))) {
+    if (!Succeeded(endpoint)) {
+      Log(kSeedInvalid, Failure(endpoint));
+      continue;
+    }
+    if (!this->membership.Knows(Value(endpoint))) {
       this->membership.AddSeed(Value(endpoint));
       this->Send({ this->membership.MakePing(Value(endpoint)) });
     }
