--- a/testing/target_standin.cpp
+++ b/testing/target_standin.cpp
@@ -33,7 +33,9 @@
 namespace {
 
 constexpr Duration kAnnounceInterval = 1s;
+/// Start of a body, or part of a path, at which the target crashes.
 constexpr std::string_view kCrashMarker = "poison";
+constexpr int kCrashExitCode = 1;
 
 /// File of the requests that the target ran, one line each: call ID, address of
 /// the target, and time in milliseconds since the epoch. Nothing is written if
@@ -127,8 +129,9 @@
   {
     const auto call = FindHeader(aRequest.headers, "X-Call-Id");
     this->record.RecordRequest(call.empty() ? "-" : call);
-    if (aRequest.body.starts_with(kCrashMarker)) {
-      std::_Exit(1);
+    if (aRequest.body.starts_with(kCrashMarker) ||
+        aRequest.target.find(kCrashMarker) != std::string::npos) {
+      std::_Exit(kCrashExitCode);
     }
     ++this->running;
     this->SleepFor(this->ServiceTime());
