Logs tell which requests a crash is attributed to, and which lost connections are not

target_crashed names fingerprints; target_connection_lost says that a reused connection broke and whether the target still listens.

--- a/include/baobab/decision/quarantine.hpp
+++ b/include/baobab/decision/quarantine.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -85,4 +86,7 @@
 /// Returns the fingerprint of a request.
 Fingerprint FingerprintOf(const Request& aRequest);
 
+/// Returns a fingerprint as it appears in logs and in the object store.
+std::string ToHex(Fingerprint aFingerprint);
+
 }
--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -131,7 +131,20 @@
   LogDropPolicy::DropLast,
   "The local target crashed; the requests that were running there are "
   "suspected as the cause.",
-  std::array{ LogField{ "suspects", "number of suspected requests" } }
+  std::array{ LogField{ "suspects", "number of suspected requests" },
+              LogField{ "fingerprints", "hashes of some of these requests" } }
+};
+
+inline constexpr LogEvent kTargetConnectionLost{
+  "target_connection_lost",
+  "target",
+  LogLevel::Info,
+  LogDropPolicy::DropFirst,
+  "A connection that had been used before broke before the answer to a "
+  "request.",
+  std::array{ LogField{ "request", "request ID from the caller's header" },
+              LogField{ "target_listens",
+                        "whether the target accepted a new connection" } }
 };
 
 inline constexpr LogEvent kMemberState{
--- a/src/baobab/decision/quarantine.cpp
+++ b/src/baobab/decision/quarantine.cpp
@@ -3,6 +3,7 @@
 #include "baobab/core/http_message.hpp"
 
 #include <algorithm>
+#include <cstdio>
 #include <numeric>
 #include <xxhash.h>
 
@@ -154,6 +155,17 @@
   return this->Evaluate(aFingerprint, kNoThreshold, aNow) == Verdict::Isolate;
 }
 
+std::string
+ToHex(Fingerprint aFingerprint)
+{
+  char text[17];
+  std::snprintf(text,
+                sizeof text,
+                "%016llx",
+                static_cast<unsigned long long>(aFingerprint));
+  return text;
+}
+
 Fingerprint
 FingerprintOf(const Request& aRequest)
 {
--- a/src/baobab/net/log_events.cpp
+++ b/src/baobab/net/log_events.cpp
@@ -21,6 +21,7 @@
         kAnnouncementForeign,
         kAnnouncementInvalid,
         kTargetCrashed,
+        kTargetConnectionLost,
         kMemberState,
         kConfigurationAdopted,
         kConfigurationRejected,
--- a/src/baobab/node/crash_detector.cpp
+++ b/src/baobab/node/crash_detector.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
+#include <ranges>
 
 namespace baobab {
 namespace {
@@ -15,6 +16,21 @@
 /// Time within which broken connections are attributed to the same crash.
 constexpr Duration kCrashWindow = 20ms;
 
+/// Fingerprints in one log line.
+constexpr std::size_t kMaxLoggedFingerprints = 8;
+
+/// Lists the first fingerprints as they appear in logs.
+std::string
+FormatFingerprints(const std::vector<Fingerprint>& aFingerprints)
+{
+  std::string text;
+  for (const Fingerprint fingerprint :
+       aFingerprints | std::views::take(kMaxLoggedFingerprints)) {
+    text += (text.empty() ? "" : " ") + ToHex(fingerprint);
+  }
+  return text;
+}
+
 }
 
 void
@@ -47,7 +63,7 @@
   }
   this->quarantine.RecordCrash(
     EntropySeed(), suspects, this->lifetime(), Now());
-  Log(kTargetCrashed, suspects.size());
+  Log(kTargetCrashed, suspects.size(), FormatFingerprints(suspects));
   if (this->onSuspectsChanged) {
     this->onSuspectsChanged();
   }
--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -2,6 +2,8 @@
 
 #include "baobab/net/clock.hpp"
 #include "baobab/net/http_server.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 #include "baobab/node/headers.hpp"
 
 #include <algorithm>
@@ -97,12 +99,14 @@
 TargetResult
 TargetClient::Run(const TargetCall& aCall, TargetCallControl& aControl)
 {
+  bool lostConnection = false;
   if (aCall.idempotent) {
     if (auto pooled = this->AcquireFromPool()) {
       TargetResult result = this->Exchange(aCall, std::move(pooled), aControl);
       if (!result.connectionBroken || aControl.cancelled) {
         return result;
       }
+      lostConnection = true;
     }
   }
   const Duration left = aCall.deadline - Now();
@@ -110,6 +114,11 @@
     HttpClient::Open(this->context,
                      this->endpoint,
                      std::min<Duration>(left, this->settings.timeouts.connect));
+  if (lostConnection) {
+    Log(kTargetConnectionLost,
+        FindHeader(aCall.request.headers, this->settings.headers.requestId),
+        Succeeded(opened));
+  }
   if (!Succeeded(opened)) {
     return { NotRun{ RefusalReason::NotReady,
                      "the target does not accept connections" } };
