--- /dev/null
+++ b/testing/integration/crashing_request_fleet_restart_test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# A request that crashes targets is sent on and on after all daemons have
+# restarted at the same time.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+python3 testing/integration/crashing_request.py restart_all --method POST \
+  --build "${BUILD:-build}" --net 127.20.37
