Target client: a crash on a pooled connection is not reported as "not run"

Callers saw: a GET that crashes its target was passed on at once to up to four targets, which all crashed; the caller was told "503 not-run". Cause: an idempotent call on a pooled connection that breaks gets a new connection; where the target has crashed this fails, and the failure hid what had happened: "not run", no suspicion, no retry budget. Other requests that ran beside it were blamed. Evidence: target_connection_lost with target_listens false for each of the first three crashes; both new tests fail on the code before. Change: after a lost connection the outcome is unknown unless an answer comes, and a target that no longer listens counts as crashed.

--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -120,10 +120,19 @@
         Succeeded(opened));
   }
   if (!Succeeded(opened)) {
+    if (lostConnection) {
+      return { OutcomeUnknown{ UnknownCause::TargetFailed }, true };
+    }
     return { NotRun{ RefusalReason::NotReady,
                      "the target does not accept connections" } };
   }
-  return this->Exchange(aCall, std::move(Value(opened)), aControl);
+  TargetResult result =
+    this->Exchange(aCall, std::move(Value(opened)), aControl);
+  if (lostConnection && std::holds_alternative<NotRun>(result.outcome)) {
+    // The first exchange may have run.
+    result.outcome = OutcomeUnknown{ UnknownCause::TargetFailed };
+  }
+  return result;
 }
 
 bool
--- a/src/baobab/node/target_client_test.cpp
+++ b/src/baobab/node/target_client_test.cpp
@@ -19,10 +19,13 @@
   std::vector<std::string> answers;
   std::size_t requests = 0;
   std::string received;
+  /// Request at which the target crashes, counted from 1.
+  std::optional<std::size_t> crashAt;
+  Tcp::acceptor* listener = nullptr;
 
   void Serve(Tcp::socket aSocket)
   {
-    for (const std::string& answer : this->answers) {
+    for (const std::string& answer : std::vector(this->answers)) {
       std::string request;
       while (request.find("\r\n\r\n") == std::string::npos) {
         char bytes[4096];
@@ -36,6 +39,10 @@
       }
       ++this->requests;
       this->received += request;
+      if (this->requests == this->crashAt) {
+        this->listener->close();
+        return;
+      }
       Await([&](auto aDone) {
         boost::asio::async_write(aSocket, boost::asio::buffer(answer), aDone);
       });
@@ -48,6 +55,8 @@
     OnFiber([&](boost::asio::io_context& aContext) {
       auto acceptor = Listen(aContext, { 0x7f000001, 0 });
       BOOST_TEST(Succeeded(acceptor));
+      const auto port = Value(acceptor).local_endpoint().port();
+      this->listener = &Value(acceptor);
       boost::fibers::fiber server([&] {
         AcceptConnections(Value(acceptor), [&](Tcp::socket aSocket) {
           Spawn([this, socket = std::move(aSocket)]() mutable {
@@ -61,8 +70,7 @@
       this->settings.headers.notRunRequiresCallId = false;
       {
         TargetClient client(aContext, this->settings);
-        client.SetTarget(
-          { 0x7f000001, Value(acceptor).local_endpoint().port() }, "i-1");
+        client.SetTarget({ 0x7f000001, port }, "i-1");
         aBody(client);
       }
       Value(acceptor).close();
@@ -124,6 +132,38 @@
   });
 }
 
+/// Guards against requests that crash one target after the other: the crash of
+/// a pooled connection's target counted as "not run" and blamed nobody.
+BOOST_AUTO_TEST_CASE(a_crash_on_a_pooled_connection_is_not_reported_as_not_run)
+{
+  ScriptedTarget target{ { Answer("r1", "one"), Answer("r2", "two") } };
+  target.crashAt = 2;
+  target.Run([](TargetClient& aClient) {
+    BOOST_TEST(BodyOf(RunOne(aClient, "r1")) == "one");
+    const TargetResult crashed = RunOne(aClient, "r2");
+    BOOST_TEST(IsUnknown(crashed));
+    BOOST_TEST(crashed.connectionBroken);
+  });
+}
+
+/// Guards against "not run" for a request whose first exchange may have run.
+BOOST_AUTO_TEST_CASE(a_refusal_after_a_lost_connection_is_not_passed_on)
+{
+  const std::string refusal =
+    "HTTP/1.1 503 Full\r\nRequest-Id: r2\r\nBaobab-Not-Run: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+  ScriptedTarget target{ { Answer("r1", "one"), "" } };
+  target.settings.headers.notRun = "Baobab-Not-Run";
+  target.Run([&](TargetClient& aClient) {
+    BOOST_TEST(BodyOf(RunOne(aClient, "r1")) == "one");
+    target.answers = { refusal };
+    const TargetResult refused = RunOne(aClient, "r2");
+    BOOST_TEST(target.requests == 3U);
+    BOOST_TEST(IsUnknown(refused));
+    BOOST_TEST(!refused.connectionBroken);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_with_another_request_id_is_not_passed_on)
 {
   ScriptedTarget target{ { Answer("other", "theirs") } };
