Quarantine: daemons that start later learn of every suspicion

Callers saw: after daemons had been restarted one by one, a request that crashes targets was run again. Cause: a daemon sent each suspicion 24 times and was then silent about it, so a daemon that starts (or returns) later never learnt of it. Class: knowledge that is spread once, without a repair for those who missed it. Evidence: rolling restarts, GET, 6 targets crashed late; the metric suspects is 0 on a restarted daemon. Change: datagrams carry a digest of the suspicions; the ack of a ping whose digest differs carries suspicions without limit, the heaviest first. A suspicion that is due is chosen by how often it was sent, not by the order of a hash map.

--- a/include/baobab/decision/gossip_message.hpp
+++ b/include/baobab/decision/gossip_message.hpp
@@ -36,6 +36,8 @@
   /// Records that changed recently.
   std::vector<MemberRecord> updates;
   std::vector<Suspicion> suspicions;
+  /// Hash of all suspicions that the sender holds.
+  std::uint64_t suspicionDigest = 0;
   std::vector<RegionAge> contacts;
 };
 
--- a/include/baobab/decision/quarantine.hpp
+++ b/include/baobab/decision/quarantine.hpp
@@ -52,10 +52,16 @@
   /// Merges a suspicion from another daemon.
   void Merge(const Suspicion& aSuspicion, TimePoint aNow);
 
-  /// Returns suspicions for the next datagram and counts them as sent. Each is
-  /// sent a limited number of times.
+  /// Returns suspicions for the next datagram and counts them as sent: the
+  /// least often sent first, then the heaviest. Each is sent a limited number
+  /// of times, but without limit to a receiver whose digest differs.
   std::vector<Suspicion> SelectForDatagram(std::size_t aMaxCount,
-                                           TimePoint aNow);
+                                           TimePoint aNow,
+                                           bool aDigestsDiffer = false);
+
+  /// Hash of all suspicions that are held. Daemons that hold the same ones have
+  /// equal digests.
+  std::uint64_t Digest() const { return this->digest; }
 
   /// Requests that are suspects now.
   std::vector<Fingerprint> Suspects(TimePoint aNow) const;
@@ -78,9 +84,11 @@
   using Entries = std::unordered_map<std::uint64_t, Entry>;
 
   bool IsSuspected(Fingerprint aFingerprint, TimePoint aNow) const;
+  void Clear(Fingerprint aFingerprint, std::uint64_t aCrash, Entry& aEntry);
 
   /// Entries by request and crash.
   std::unordered_map<Fingerprint, Entries> entries;
+  std::uint64_t digest = 0;
 };
 
 /// Returns the fingerprint of a request.
--- a/include/baobab/node/gossip_agent.hpp
+++ b/include/baobab/node/gossip_agent.hpp
@@ -61,7 +61,8 @@
   void MaintainSeeds();
 
   /// Sends datagrams; drops those that exceed the control budget.
-  void Send(std::vector<GossipSend> aSends);
+  /// @param aSuspicionsDiffer true if the receiver holds other suspicions
+  void Send(std::vector<GossipSend> aSends, bool aSuspicionsDiffer = false);
 
   /// Answers a table request with the members of all buckets that differ.
   void Reply(const std::shared_ptr<FrameConnection>& aFrames,
--- a/src/baobab/decision/quarantine.cpp
+++ b/src/baobab/decision/quarantine.cpp
@@ -3,8 +3,10 @@
 #include "baobab/core/http_message.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <numeric>
+#include <ranges>
 #include <xxhash.h>
 
 namespace baobab {
@@ -13,6 +15,16 @@
 /// How often a daemon passes a suspicion on.
 constexpr std::uint32_t kTransmissions = 24;
 
+/// Part of one suspicion in the digest of all.
+std::uint64_t
+HashOf(Fingerprint aFingerprint, std::uint64_t aCrash, bool aCleared)
+{
+  const std::array<std::uint64_t, 3> fields = { aFingerprint,
+                                                aCrash,
+                                                aCleared ? 1U : 0U };
+  return XXH3_64bits(fields.data(), sizeof fields);
+}
+
 /// Longest lifetime that is accepted for a suspicion from another daemon.
 constexpr Duration kMaxLifetime = std::chrono::hours(24);
 
@@ -48,8 +60,7 @@
   }
   for (auto& [crash, entry] : found->second) {
     if (!entry.cleared && entry.expiresAt > aNow) {
-      entry.cleared = true;
-      entry.timesSent = 0;
+      this->Clear(aFingerprint, crash, entry);
     }
   }
 }
@@ -89,38 +100,59 @@
   Entry& entry = this->entries[aSuspicion.fingerprint][aSuspicion.crash];
   const double weight = std::clamp(aSuspicion.weight, 0.0, 1.0);
   const bool isNew = entry.expiresAt == TimePoint{};
-  const bool changes = isNew || (aSuspicion.cleared && !entry.cleared);
   entry.weight = std::max(entry.weight, weight);
-  entry.cleared = entry.cleared || aSuspicion.cleared;
   // Repeats do not extend the lifetime, so that daemons which repeat a
   // suspicion to each other cannot keep it for ever.
   if (isNew) {
     entry.expiresAt = aNow + lifetime;
+    this->digest ^= HashOf(aSuspicion.fingerprint, aSuspicion.crash, false);
   }
-  if (changes) {
-    entry.timesSent = 0;
+  if (aSuspicion.cleared && !entry.cleared) {
+    this->Clear(aSuspicion.fingerprint, aSuspicion.crash, entry);
   }
 }
 
 std::vector<Suspicion>
-Quarantine::SelectForDatagram(std::size_t aMaxCount, TimePoint aNow)
+Quarantine::SelectForDatagram(std::size_t aMaxCount,
+                              TimePoint aNow,
+                              bool aDigestsDiffer)
 {
-  std::vector<Suspicion> selected;
+  struct Candidate
+  {
+    Fingerprint fingerprint;
+    std::uint64_t crash;
+    Entry* entry;
+  };
+  std::vector<Candidate> candidates;
   for (auto& [fingerprint, entries] : this->entries) {
     for (auto& [crash, entry] : entries) {
-      if (selected.size() == aMaxCount) {
-        return selected;
-      }
-      if (entry.timesSent < kTransmissions && entry.expiresAt > aNow) {
-        ++entry.timesSent;
-        selected.push_back({ fingerprint,
-                             crash,
-                             entry.weight,
-                             entry.cleared,
-                             entry.expiresAt - aNow });
+      const bool due = aDigestsDiffer || entry.timesSent < kTransmissions;
+      if (due && entry.expiresAt > aNow) {
+        candidates.push_back({ fingerprint, crash, &entry });
       }
     }
   }
+  const std::size_t count = std::min(aMaxCount, candidates.size());
+  std::ranges::partial_sort(
+    candidates,
+    candidates.begin() + static_cast<std::ptrdiff_t>(count),
+    {},
+    [](const Candidate& aCandidate) {
+      const Entry& entry = *aCandidate.entry;
+      return std::pair{ entry.timesSent, -entry.weight };
+    });
+  std::vector<Suspicion> selected;
+  std::ranges::transform(candidates | std::views::take(count),
+                         std::back_inserter(selected),
+                         [&](const Candidate& aCandidate) {
+                           Entry& entry = *aCandidate.entry;
+                           ++entry.timesSent;
+                           return Suspicion{ aCandidate.fingerprint,
+                                             aCandidate.crash,
+                                             entry.weight,
+                                             entry.cleared,
+                                             entry.expiresAt - aNow };
+                         });
   return selected;
 }
 
@@ -141,13 +173,27 @@
 {
   for (auto& [fingerprint, entries] : this->entries) {
     std::erase_if(entries, [&](const auto& aItem) {
-      return aItem.second.expiresAt <= aNow;
+      const auto& [crash, entry] = aItem;
+      const bool expired = entry.expiresAt <= aNow;
+      if (expired) {
+        this->digest ^= HashOf(fingerprint, crash, entry.cleared);
+      }
+      return expired;
     });
   }
   std::erase_if(this->entries,
                 [](const auto& aItem) { return aItem.second.empty(); });
 }
 
+void
+Quarantine::Clear(Fingerprint aFingerprint, std::uint64_t aCrash, Entry& aEntry)
+{
+  aEntry.cleared = true;
+  aEntry.timesSent = 0;
+  this->digest ^= HashOf(aFingerprint, aCrash, false);
+  this->digest ^= HashOf(aFingerprint, aCrash, true);
+}
+
 bool
 Quarantine::IsSuspected(Fingerprint aFingerprint, TimePoint aNow) const
 {
--- a/src/baobab/decision/quarantine_test.cpp
+++ b/src/baobab/decision/quarantine_test.cpp
@@ -68,6 +68,39 @@
   BOOST_TEST(here.Size() == 0U);
 }
 
+/// Guards against a daemon that restarts and runs a request that crashes
+/// targets, because its peers no longer send what they all know.
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_later_learns_of_every_suspicion)
+{
+  constexpr int kCrashes = 20;
+  Quarantine running;
+  for (int crash = 1; crash <= kCrashes; ++crash) {
+    const auto first = static_cast<Fingerprint>(1000 * crash);
+    running.RecordCrash(crash, RunningWith(first), 600s, kNow);
+  }
+  running.RecordCompletion(1005, kNow);
+  while (!running.SelectForDatagram(8, kNow).empty()) {
+  }
+  Quarantine started;
+  int datagrams = 0;
+  while (started.Digest() != running.Digest() && datagrams < 100) {
+    ++datagrams;
+    for (const Suspicion& suspicion :
+         running.SelectForDatagram(8, kNow, true)) {
+      started.Merge(suspicion, kNow);
+    }
+    // The request that crashed alone comes first.
+    BOOST_TEST(
+      (started.Evaluate(kCrashing, kThreshold, kNow) == Verdict::Refuse));
+  }
+  BOOST_TEST(started.Digest() == running.Digest());
+  BOOST_TEST((started.Evaluate(1005, kThreshold, kNow) == Verdict::Allow));
+  running.Expire(kNow + 601s);
+  started.Expire(kNow + 601s);
+  BOOST_TEST(running.Digest() == 0U);
+  BOOST_TEST(started.Digest() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(repeating_a_suspicion_does_not_extend_it)
 {
   Quarantine quarantine;
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -108,10 +108,11 @@
     return;
   }
   const GossipMessage& gossip = Value(message);
-  this->Send(this->membership.Handle(gossip, Now()));
   for (const Suspicion& suspicion : gossip.suspicions) {
     this->quarantine.Merge(suspicion, Now());
   }
+  this->Send(this->membership.Handle(gossip, Now()),
+             gossip.suspicionDigest != this->quarantine.Digest());
   this->digestsDiffer = gossip.digest != this->membership.Digest();
   if (this->onGeneration) {
     this->onGeneration(gossip.sender.endpoint, gossip.generation);
@@ -131,11 +132,12 @@
 }
 
 void
-GossipAgent::Send(std::vector<GossipSend> aSends)
+GossipAgent::Send(std::vector<GossipSend> aSends, bool aSuspicionsDiffer)
 {
   for (GossipSend& send : aSends) {
-    send.message.suspicions =
-      this->quarantine.SelectForDatagram(kMaxSuspicionsPerDatagram, Now());
+    send.message.suspicionDigest = this->quarantine.Digest();
+    send.message.suspicions = this->quarantine.SelectForDatagram(
+      kMaxSuspicionsPerDatagram, Now(), aSuspicionsDiffer);
     std::string bytes = EncodeGossip(send.message);
     if (bytes.size() > kMaxDatagramBytes) {
       this->counts.unsent.Record("updates do not fit into a datagram", Now());
--- a/src/baobab/wire/codec_test.cpp
+++ b/src/baobab/wire/codec_test.cpp
@@ -41,6 +41,7 @@
   message.nonce = 5;
   message.generation = 9;
   message.digest = 77;
+  message.suspicionDigest = 88;
   message.sender = {
     { 0x7f000001, 7100 }, 3, MemberState::Alive, { "perth", "north" }, "q",
     TargetState::Ready,   20
@@ -85,9 +86,10 @@
 {
   return aLeft.kind == aRight.kind && aLeft.nonce == aRight.nonce &&
          aLeft.generation == aRight.generation &&
-         aLeft.digest == aRight.digest && aLeft.sender == aRight.sender &&
-         aLeft.subject == aRight.subject && aLeft.updates == aRight.updates &&
-         aLeft.contacts == aRight.contacts &&
+         aLeft.digest == aRight.digest &&
+         aLeft.suspicionDigest == aRight.suspicionDigest &&
+         aLeft.sender == aRight.sender && aLeft.subject == aRight.subject &&
+         aLeft.updates == aRight.updates && aLeft.contacts == aRight.contacts &&
          aLeft.suspicions == aRight.suspicions;
 }
 
--- a/src/baobab/wire/gossip_codec.cpp
+++ b/src/baobab/wire/gossip_codec.cpp
@@ -53,7 +53,8 @@
                            subject.port,
                            builder.CreateVector(news),
                            builder.CreateVectorOfStructs(suspicions),
-                           builder.CreateVector(contacts));
+                           builder.CreateVector(contacts),
+                           aMessage.suspicionDigest);
   builder.Finish(root, wire::fb::GossipIdentifier());
   return { reinterpret_cast<const char*>(builder.GetBufferPointer()),
            builder.GetSize() };
@@ -76,6 +77,7 @@
   message.nonce = gossip.nonce();
   message.generation = gossip.generation();
   message.digest = gossip.digest();
+  message.suspicionDigest = gossip.suspicion_digest();
   auto sender = DecodeMember(*gossip.sender());
   if (!Succeeded(sender)) {
     return Failure(sender);
