Quarantine: confirmed suspicions are kept in the object store

Cause: suspicions lived in the daemons' memory only. Class: knowledge that must outlive the fleet and was not in the one place that does. Evidence: two restarts of all daemons, 6 targets crashed late (POST), 11 (GET). Change: QuarantineAgent keeps the suspicions of requests that were once the only suspect of a crash in one object, changed by conditional update; daemons read it at their start.

--- a/include/baobab/decision/quarantine.hpp
+++ b/include/baobab/decision/quarantine.hpp
@@ -63,6 +63,22 @@
   /// equal digests.
   std::uint64_t Digest() const { return this->digest; }
 
+  /// Suspicions to keep in the object store: those of requests that were the
+  /// only suspect of a crash at least once.
+  std::vector<Suspicion> Confirmed(TimePoint aNow) const;
+
+  /// Suspicions that were cleared and have not expired.
+  std::vector<Suspicion> Cleared(TimePoint aNow) const;
+
+  /// True if a confirmed suspicion is not in the object store yet.
+  bool HasUnstored(TimePoint aNow) const;
+
+  /// The same for suspicions that were recorded by this daemon.
+  bool HasUnstoredOfThisHost(TimePoint aNow) const;
+
+  /// Marks suspicions as contained in the object store.
+  void MarkStored(std::span<const Suspicion> aSuspicions);
+
   /// Requests that are suspects now.
   std::vector<Fingerprint> Suspects(TimePoint aNow) const;
 
@@ -76,6 +92,10 @@
   {
     double weight = 0;
     bool cleared = false;
+    /// True if this daemon recorded the crash.
+    bool recordedHere = false;
+    /// True if the object store contains the entry.
+    bool stored = false;
     TimePoint expiresAt;
     /// How often it was sent to other daemons since it was added or cleared.
     std::uint32_t timesSent = 0;
@@ -84,6 +104,11 @@
   using Entries = std::unordered_map<std::uint64_t, Entry>;
 
   bool IsSuspected(Fingerprint aFingerprint, TimePoint aNow) const;
+  /// Calls a function with the fingerprint, the crash and the entry of each
+  /// confirmed suspicion.
+  template<class Function>
+  void ForEachConfirmed(TimePoint aNow, Function aFunction) const;
+
   void Clear(Fingerprint aFingerprint, std::uint64_t aCrash, Entry& aEntry);
 
   /// Entries by request and crash.
--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -135,6 +135,33 @@
               LogField{ "fingerprints", "hashes of some of these requests" } }
 };
 
+inline constexpr LogEvent kQuarantineRead{
+  "quarantine_read",
+  "target",
+  LogLevel::Info,
+  LogDropPolicy::DropLast,
+  "Suspicions of crashing targets were read from the object store.",
+  std::array{ LogField{ "suspicions", "number of them" } }
+};
+
+inline constexpr LogEvent kQuarantineStored{
+  "quarantine_stored",
+  "target",
+  LogLevel::Info,
+  LogDropPolicy::DropLast,
+  "Suspicions of crashing targets were written to the object store.",
+  std::array{ LogField{ "suspicions", "number in the stored list" } }
+};
+
+inline constexpr LogEvent kQuarantineNotStored{
+  "quarantine_not_stored",
+  "target",
+  LogLevel::Warning,
+  LogDropPolicy::DropFirst,
+  "Suspicions of crashing targets could not be stored; it is tried again.",
+  std::array{ LogField{ "error", "cause" } }
+};
+
 inline constexpr LogEvent kTargetConnectionLost{
   "target_connection_lost",
   "target",
--- a/src/baobab/decision/quarantine.cpp
+++ b/src/baobab/decision/quarantine.cpp
@@ -48,6 +48,7 @@
     1.0 / static_cast<double>(std::max<std::size_t>(1, suspected.size()));
   for (const Fingerprint fingerprint : suspected) {
     this->Merge({ fingerprint, aCrash, weight, false, aLifetime }, aNow);
+    this->entries[fingerprint][aCrash].recordedHere = true;
   }
 }
 
@@ -156,6 +157,93 @@
   return selected;
 }
 
+template<class Function>
+void
+Quarantine::ForEachConfirmed(TimePoint aNow, Function aFunction) const
+{
+  for (const auto& [fingerprint, entries] : this->entries) {
+    const auto holds = [&](const Entry& aEntry) {
+      return !aEntry.cleared && aEntry.expiresAt > aNow;
+    };
+    const bool confirmed = std::ranges::any_of(entries, [&](const auto& aItem) {
+      return holds(aItem.second) && aItem.second.weight >= 1;
+    });
+    for (const auto& [crash, entry] : entries) {
+      if (confirmed && holds(entry)) {
+        aFunction(fingerprint, crash, entry);
+      }
+    }
+  }
+}
+
+std::vector<Suspicion>
+Quarantine::Confirmed(TimePoint aNow) const
+{
+  std::vector<Suspicion> confirmed;
+  this->ForEachConfirmed(
+    aNow,
+    [&](Fingerprint aFingerprint, std::uint64_t aCrash, const Entry& aEntry) {
+      confirmed.push_back({ aFingerprint,
+                            aCrash,
+                            aEntry.weight,
+                            false,
+                            aEntry.expiresAt - aNow });
+    });
+  return confirmed;
+}
+
+std::vector<Suspicion>
+Quarantine::Cleared(TimePoint aNow) const
+{
+  std::vector<Suspicion> cleared;
+  for (const auto& [fingerprint, entries] : this->entries) {
+    for (const auto& [crash, entry] : entries) {
+      if (entry.cleared && entry.expiresAt > aNow) {
+        cleared.push_back(
+          { fingerprint, crash, entry.weight, true, entry.expiresAt - aNow });
+      }
+    }
+  }
+  return cleared;
+}
+
+bool
+Quarantine::HasUnstored(TimePoint aNow) const
+{
+  bool unstored = false;
+  this->ForEachConfirmed(aNow,
+                         [&](Fingerprint, std::uint64_t, const Entry& aEntry) {
+                           unstored = unstored || !aEntry.stored;
+                         });
+  return unstored;
+}
+
+bool
+Quarantine::HasUnstoredOfThisHost(TimePoint aNow) const
+{
+  bool unstored = false;
+  this->ForEachConfirmed(
+    aNow, [&](Fingerprint, std::uint64_t, const Entry& aEntry) {
+      unstored = unstored || (!aEntry.stored && aEntry.recordedHere);
+    });
+  return unstored;
+}
+
+void
+Quarantine::MarkStored(std::span<const Suspicion> aSuspicions)
+{
+  for (const Suspicion& suspicion : aSuspicions) {
+    const auto request = this->entries.find(suspicion.fingerprint);
+    if (request == this->entries.end()) {
+      continue;
+    }
+    const auto entry = request->second.find(suspicion.crash);
+    if (entry != request->second.end()) {
+      entry->second.stored = true;
+    }
+  }
+}
+
 std::vector<Fingerprint>
 Quarantine::Suspects(TimePoint aNow) const
 {
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -14,6 +14,7 @@
 #include "baobab/node/ingress_pool.hpp"
 #include "baobab/node/metrics.hpp"
 #include "baobab/node/peer_server.hpp"
+#include "baobab/node/quarantine_agent.hpp"
 #include "baobab/node/route_publisher.hpp"
 #include "baobab/node/status_agent.hpp"
 
@@ -102,6 +103,10 @@
              this->quarantine,
              this->pacer,
              this->settings)
+    , quarantineAgent(
+        aPlatform.openStore(this->control.Context(), this->settings.store),
+        this->quarantine,
+        this->membership)
     , target(this->control.Context(), this->settings)
     , calls(
         this->target,
@@ -195,10 +200,17 @@
                                        std::uint64_t aGeneration) {
       this->config.OnPeerGeneration(aPeer, aGeneration);
     };
-    this->gossip.onSuspicions = [this] { this->publisher.MarkChanged(); };
+    this->gossip.onSuspicions = [this] {
+      this->publisher.MarkChanged();
+      this->quarantineAgent.OnSuspicions();
+    };
+    this->quarantineAgent.onSuspicions = [this] {
+      this->publisher.MarkChanged();
+    };
     this->calls.onSuspectsChanged = [this] {
       this->publisher.MarkChanged();
       this->gossip.Send(this->membership.PushUpdates());
+      this->quarantineAgent.OnSuspicions();
     };
     this->adminHandler = AdminHandler(
       { [this](const TargetAnnouncement& aTarget) { this->Announce(aTarget); },
@@ -210,6 +222,7 @@
     Spawn([this] { this->gossip.MaintainSeeds(); });
     Spawn([this] { this->gossip.RunExchanges(); });
     Spawn([this] { this->config.Run(); });
+    Spawn([this] { this->quarantineAgent.Run(); });
     Spawn([this] { this->status.RunReports(); });
     Spawn([this] { this->status.RunAggregation(); });
     Spawn([this] { this->RunTimers(); });
@@ -387,6 +400,7 @@
     AddControlMetrics(page,
                       { this->config.Generation(),
                         this->config.StoreCalls() + this->gossip.StoreCalls() +
+                          this->quarantineAgent.StoreCalls() +
                           this->status.StoreCalls(),
                         this->pacer.Spent(),
                         this->quarantine.Size(),
@@ -440,6 +454,7 @@
   RoutePublisher publisher;
   ConfigAgent config;
   GossipAgent gossip;
+  QuarantineAgent quarantineAgent;
   TargetClient target;
   CallServer calls;
   PeerServer peers;
--- a/testing/integration/crashing_request.py
+++ b/testing/integration/crashing_request.py
@@ -143,11 +143,16 @@
     for thread in [supervisor, *callers]:
         thread.start()
     time.sleep(1)
+    if arguments.scenario == "store_outage":
+        fleet.set_store_faults('{"outage": true}')
     repeater.start()
     wait_for_crashes(supervisor, 3, 15)
     third = (supervisor.crashes[2][0] if len(supervisor.crashes) >= 3
              else time.monotonic())
     time.sleep(SETTLING_SECONDS)
+    if arguments.scenario == "store_outage":
+        fleet.set_store_faults('{"outage": false}')
+        time.sleep(SETTLING_SECONDS)
     if arguments.scenario != "calm":
         restart(fleet, repeater, RESTART_GAP_SECONDS
                 if arguments.scenario == "restart_each" else 0)
@@ -183,7 +188,8 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("scenario",
-                        choices=["calm", "restart_each", "restart_all"])
+                        choices=["calm", "restart_each", "restart_all",
+                                 "store_outage"])
     parser.add_argument("--method", default="POST", choices=["GET", "POST"])
     parser.add_argument("--build", default="build")
     parser.add_argument("--net", default="127.20.30")
