Quarantine: a server error does not clear a request of its crashes

A request that had crashed targets was cleared of all of it by any answer, also by a 500 that a failing target returned without running it; it then crashed targets anew. Now only statuses below 500 clear a request. The log no longer calls a lost race for the seed list a failure.

--- a/include/baobab/decision/quarantine.hpp
+++ b/include/baobab/decision/quarantine.hpp
@@ -40,8 +40,13 @@
                    Duration aLifetime,
                    TimePoint aNow);
 
-  /// Clears a request that completed of the suspicions recorded so far.
-  void RecordCompletion(Fingerprint aFingerprint, TimePoint aNow);
+  /// Clears a request that completed of the suspicions recorded so far. A server
+  /// error clears nothing: a failing target may return it without running the
+  /// request.
+  /// @param aStatus HTTP status of the target's answer
+  void RecordCompletion(Fingerprint aFingerprint,
+                        unsigned aStatus,
+                        TimePoint aNow);
 
   /// Returns how a request may be handled now.
   /// @param aThreshold sum of the shares from which it is refused
--- a/src/baobab/decision/quarantine.cpp
+++ b/src/baobab/decision/quarantine.cpp
@@ -53,10 +53,13 @@
 }
 
 void
-Quarantine::RecordCompletion(Fingerprint aFingerprint, TimePoint aNow)
+Quarantine::RecordCompletion(Fingerprint aFingerprint,
+                             unsigned aStatus,
+                             TimePoint aNow)
 {
+  constexpr unsigned kServerError = 500;
   const auto found = this->entries.find(aFingerprint);
-  if (found == this->entries.end()) {
+  if (found == this->entries.end() || aStatus >= kServerError) {
     return;
   }
   for (auto& [crash, entry] : found->second) {
--- a/src/baobab/decision/quarantine_test.cpp
+++ b/src/baobab/decision/quarantine_test.cpp
@@ -42,12 +42,28 @@
 {
   Quarantine quarantine;
   quarantine.RecordCrash(1, RunningWith(1000), 600s, kNow);
-  quarantine.RecordCompletion(1005, kNow);
+  quarantine.RecordCompletion(1005, 200, kNow);
   BOOST_TEST((quarantine.Evaluate(1005, kThreshold, kNow) == Verdict::Allow));
   BOOST_TEST(
     (quarantine.Evaluate(kCrashing, kThreshold, kNow) == Verdict::Isolate));
 }
 
+/// Guards against a request that is cleared of its crashes by a target that
+/// fails everything.
+BOOST_AUTO_TEST_CASE(a_server_error_does_not_clear_a_request)
+{
+  Quarantine quarantine;
+  quarantine.RecordCrash(1, std::vector<Fingerprint>{ kCrashing }, 600s, kNow);
+  for (const unsigned status : { 500U, 502U, 503U, 504U }) {
+    quarantine.RecordCompletion(kCrashing, status, kNow);
+    BOOST_TEST(
+      (quarantine.Evaluate(kCrashing, kThreshold, kNow) == Verdict::Isolate));
+  }
+  quarantine.RecordCompletion(kCrashing, 404, kNow);
+  BOOST_TEST(
+    (quarantine.Evaluate(kCrashing, kThreshold, kNow) == Verdict::Allow));
+}
+
 BOOST_AUTO_TEST_CASE(suspicions_and_clearances_spread_and_expire)
 {
   Quarantine here;
@@ -59,7 +75,7 @@
     there.Merge(suspicion, kNow);
   }
   BOOST_TEST((there.Evaluate(kCrashing, kThreshold, kNow) == Verdict::Refuse));
-  there.RecordCompletion(kCrashing, kNow);
+  there.RecordCompletion(kCrashing, 200, kNow);
   for (const Suspicion& suspicion : there.SelectForDatagram(8, kNow)) {
     here.Merge(suspicion, kNow);
   }
@@ -78,7 +94,7 @@
     const auto first = static_cast<Fingerprint>(1000 * crash);
     running.RecordCrash(crash, RunningWith(first), 600s, kNow);
   }
-  running.RecordCompletion(1005, kNow);
+  running.RecordCompletion(1005, 200, kNow);
   while (!running.SelectForDatagram(8, kNow).empty()) {
   }
   Quarantine started;
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -411,9 +411,10 @@
   }
   const TimePoint now = Now();
   this->ApplyDequeued(this->ReleaseSlot(aCall, result, ended));
-  if (std::holds_alternative<Answered>(result.outcome) &&
-      this->quarantine.Size() > 0) {
-    this->quarantine.RecordCompletion(fingerprint, now);
+  if (const auto* answer = std::get_if<Answered>(&result.outcome);
+      answer != nullptr && this->quarantine.Size() > 0) {
+    this->quarantine.RecordCompletion(
+      fingerprint, answer->response.status, now);
   }
   this->FinishCall(aCall, std::move(result), ended);
   this->SendLoadUpdates();
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -321,7 +321,8 @@
   }
   if (!Value(object) || Value(object)->value != text) {
     const auto written = this->store->Put(key, text, condition);
-    if (!Succeeded(written)) {
+    // Conflict: another writer of the zone was faster.
+    if (!Succeeded(written) && Failure(written).kind != ErrorKind::Conflict) {
       Log(kSeedsNotWritten, Failure(written));
     }
   }
