Quarantine: a request is recognised whatever service runs it

The fingerprint contained the service that the ingress had picked. On a route that is split between services, or moved to another by a new version, a request that crashes targets had to be learnt for each service anew. The fingerprint now covers host, method, path, query and body.

--- a/include/baobab/decision/suspicion.hpp
+++ b/include/baobab/decision/suspicion.hpp
@@ -7,8 +7,8 @@
 
 namespace baobab {
 
-/// Hash of a request's service, method, path and body. Requests with the same
-/// fingerprint are treated as the same request.
+/// Hash of a request's host, method, path and body. Requests with the same
+/// fingerprint are treated as the same request, whatever service runs them.
 using Fingerprint = std::uint64_t;
 
 /// One crash of a target and one request that may have caused it.
--- a/src/baobab/decision/quarantine.cpp
+++ b/src/baobab/decision/quarantine.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <cstdio>
 #include <numeric>
 #include <ranges>
@@ -25,6 +26,26 @@
   return XXH3_64bits(fields.data(), sizeof fields);
 }
 
+/// Returns the host that a request names, without the port and in lower case.
+std::string
+HostOf(const Request& aRequest)
+{
+  const auto lower = [](const std::string& aText) {
+    std::string text = aText;
+    std::ranges::transform(text, text.begin(), [](unsigned char aByte) {
+      return static_cast<char>(std::tolower(aByte));
+    });
+    return text;
+  };
+  const auto field =
+    std::ranges::find_if(aRequest.headers, [&](const HeaderField& aField) {
+      return lower(aField.name) == "host";
+    });
+  return field == aRequest.headers.end()
+           ? std::string()
+           : lower(field->value.substr(0, field->value.rfind(':')));
+}
+
 /// Longest lifetime that is accepted for a suspicion from another daemon.
 constexpr Duration kMaxLifetime = std::chrono::hours(24);
 
@@ -309,7 +330,7 @@
   const auto mix = [](std::uint64_t aSeed, const std::string& aText) {
     return XXH3_64bits_withSeed(aText.data(), aText.size(), aSeed);
   };
-  std::uint64_t hash = mix(0, aRequest.service);
+  std::uint64_t hash = mix(0, HostOf(aRequest));
   hash = mix(hash, aRequest.method);
   hash = mix(hash, aRequest.target);
   return mix(hash, aRequest.body);
--- a/src/baobab/decision/quarantine_test.cpp
+++ b/src/baobab/decision/quarantine_test.cpp
@@ -1,3 +1,4 @@
+#include "baobab/core/http_message.hpp"
 #include "baobab/decision/quarantine.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -117,6 +118,30 @@
   BOOST_TEST(started.Digest() == 0U);
 }
 
+/// Guards against a request that crashes the targets of each service that its
+/// route is split between, or is moved to, as if it were another request.
+BOOST_AUTO_TEST_CASE(a_request_is_recognised_whatever_service_runs_it)
+{
+  const Request request{
+    "old-office", "POST", "/order?x=1", { { "Host", "Q.example:80" } }, "body"
+  };
+  const auto with = [&](auto aChange) {
+    Request changed = request;
+    aChange(changed);
+    return FingerprintOf(changed) == FingerprintOf(request);
+  };
+  BOOST_TEST(with([](Request& aRequest) { aRequest.service = "quoting"; }));
+  BOOST_TEST(with([](Request& aRequest) {
+    aRequest.headers = { { "X-Request-Id", "2" }, { "host", "q.example" } };
+  }));
+  BOOST_TEST(!with([](Request& aRequest) { aRequest.method = "PUT"; }));
+  BOOST_TEST(!with([](Request& aRequest) { aRequest.target = "/order?x=2"; }));
+  BOOST_TEST(!with([](Request& aRequest) { aRequest.body = "other"; }));
+  BOOST_TEST(!with([](Request& aRequest) {
+    aRequest.headers = { { "Host", "other.example" } };
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(repeating_a_suspicion_does_not_extend_it)
 {
   Quarantine quarantine;
