Ingress: a request that is known to crash targets is refused where it arrives

The ingress knew only that a request was suspected and left the verdict to the daemon beside the target. One that has just started, or missed the gossip, let it run. The routing table now carries the weight of each suspect, and the ingress refuses from the service's threshold on; the daemon beside the target checks as before.

--- a/include/baobab/decision/quarantine.hpp
+++ b/include/baobab/decision/quarantine.hpp
@@ -16,6 +16,10 @@
 
 struct Request;
 
+/// Detail of the refusal of a request that crashes targets.
+inline constexpr std::string_view kQuarantinedDetail =
+  "requests with this fingerprint crash their target";
+
 /// How a request may be handled.
 enum class Verdict : std::uint8_t
 {
@@ -40,9 +44,9 @@
                    Duration aLifetime,
                    TimePoint aNow);
 
-  /// Clears a request that completed of the suspicions recorded so far. A server
-  /// error clears nothing: a failing target may return it without running the
-  /// request.
+  /// Clears a request that completed of the suspicions recorded so far. A
+  /// server error clears nothing: a failing target may return it without
+  /// running the request.
   /// @param aStatus HTTP status of the target's answer
   void RecordCompletion(Fingerprint aFingerprint,
                         unsigned aStatus,
@@ -85,7 +89,7 @@
   void MarkStored(std::span<const Suspicion> aSuspicions);
 
   /// Requests that are suspects now.
-  std::vector<Fingerprint> Suspects(TimePoint aNow) const;
+  std::vector<Suspect> Suspects(TimePoint aNow) const;
 
   /// Drops expired suspicions.
   void Expire(TimePoint aNow);
@@ -109,6 +113,7 @@
   using Entries = std::unordered_map<std::uint64_t, Entry>;
 
   bool IsSuspected(Fingerprint aFingerprint, TimePoint aNow) const;
+  double WeightOf(const Entries& aEntries, TimePoint aNow) const;
   /// Calls a function with the fingerprint, the crash and the entry of each
   /// confirmed suspicion.
   template<class Function>
--- a/include/baobab/decision/suspicion.hpp
+++ b/include/baobab/decision/suspicion.hpp
@@ -11,6 +11,14 @@
 /// fingerprint are treated as the same request, whatever service runs them.
 using Fingerprint = std::uint64_t;
 
+/// A request under suspicion.
+struct Suspect
+{
+  Fingerprint fingerprint = 0;
+  /// Sum of its shares of the crashes.
+  double weight = 0;
+};
+
 /// One crash of a target and one request that may have caused it.
 struct Suspicion
 {
--- a/include/baobab/node/ingress_call.hpp
+++ b/include/baobab/node/ingress_call.hpp
@@ -27,14 +27,17 @@
   TimePoint startedAt;
   CallTerms terms;
   DisconnectNotifier* caller = nullptr;
-  /// Fingerprint of the request, if it is suspected of crashing targets.
-  std::optional<std::uint64_t> suspectFingerprint;
+  /// Set if the request is suspected of crashing targets.
+  std::optional<Suspect> suspect;
   /// Attempts of the call, for the log.
   std::shared_ptr<CallRecord> record;
   /// Statistics of the service; owned by the worker.
   ServiceStats* stats = nullptr;
 };
 
+/// True if the request is known to crash targets and must not be sent to any.
+bool IsQuarantined(const IngressCall& aCall);
+
 /// Prepares the call for a request: sets its deadline, chooses its service by
 /// the weights of the route, and sets the headers for targets.
 IngressCall PrepareCall(std::shared_ptr<const Route> aRoute,
--- a/include/baobab/node/route_table.hpp
+++ b/include/baobab/node/route_table.hpp
@@ -8,6 +8,7 @@
 #include "baobab/decision/breaker.hpp"
 #include "baobab/decision/configuration.hpp"
 #include "baobab/decision/member.hpp"
+#include "baobab/decision/suspicion.hpp"
 #include "baobab/decision/target_load.hpp"
 #include "baobab/node/route_index.hpp"
 #include "baobab/node/service_state.hpp"
@@ -66,8 +67,8 @@
 
   /// Sorted by the name of the service.
   std::vector<std::shared_ptr<const ServiceRoute>> serviceRoutes;
-  /// Fingerprints of the suspect requests, sorted.
-  std::vector<std::uint64_t> suspects;
+  /// Requests suspected of crashing targets, sorted by fingerprint.
+  std::vector<Suspect> suspects;
   /// Generation of the configuration; 0 if none is known yet.
   std::uint64_t generation = 0;
   /// The tightest limits on callers over all service files.
@@ -97,7 +98,7 @@
   void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
 
   /// Builds the next table.
-  std::unique_ptr<RouteTable> Build(std::vector<std::uint64_t> aSuspects);
+  std::unique_ptr<RouteTable> Build(std::vector<Suspect> aSuspects);
 
 private:
   struct Target
--- a/src/baobab/decision/quarantine.cpp
+++ b/src/baobab/decision/quarantine.cpp
@@ -99,22 +99,25 @@
   if (found == this->entries.end()) {
     return Verdict::Allow;
   }
-  const double totalWeight =
-    std::accumulate(found->second.begin(),
-                    found->second.end(),
-                    0.0,
-                    [&](double aSum, const auto& aItem) {
-                      const Entry& entry = aItem.second;
-                      return entry.cleared || entry.expiresAt <= aNow
-                               ? aSum
-                               : aSum + entry.weight;
-                    });
+  const double totalWeight = this->WeightOf(found->second, aNow);
   if (totalWeight >= aThreshold) {
     return Verdict::Refuse;
   }
   return totalWeight > 0 ? Verdict::Isolate : Verdict::Allow;
 }
 
+/// Returns the sum of the shares that count against a request now.
+double
+Quarantine::WeightOf(const Entries& aEntries, TimePoint aNow) const
+{
+  return std::accumulate(
+    aEntries.begin(), aEntries.end(), 0.0, [&](double aSum, const auto& aItem) {
+      const Entry& entry = aItem.second;
+      return entry.cleared || entry.expiresAt <= aNow ? aSum
+                                                      : aSum + entry.weight;
+    });
+}
+
 void
 Quarantine::Merge(const Suspicion& aSuspicion, TimePoint aNow)
 {
@@ -268,13 +271,14 @@
   }
 }
 
-std::vector<Fingerprint>
+std::vector<Suspect>
 Quarantine::Suspects(TimePoint aNow) const
 {
-  std::vector<Fingerprint> suspects;
+  std::vector<Suspect> suspects;
   for (const auto& [fingerprint, entries] : this->entries) {
-    if (this->IsSuspected(fingerprint, aNow)) {
-      suspects.push_back(fingerprint);
+    const double weight = this->WeightOf(entries, aNow);
+    if (weight > 0) {
+      suspects.push_back({ fingerprint, weight });
     }
   }
   return suspects;
@@ -309,8 +313,9 @@
 bool
 Quarantine::IsSuspected(Fingerprint aFingerprint, TimePoint aNow) const
 {
-  constexpr double kNoThreshold = 1e9;
-  return this->Evaluate(aFingerprint, kNoThreshold, aNow) == Verdict::Isolate;
+  const auto found = this->entries.find(aFingerprint);
+  return found != this->entries.end() &&
+         this->WeightOf(found->second, aNow) > 0;
 }
 
 std::string
--- a/src/baobab/node/attempt_runner.cpp
+++ b/src/baobab/node/attempt_runner.cpp
@@ -106,9 +106,9 @@
 AttemptRunner::Choose(const IngressCall& aCall,
                       const std::vector<Endpoint>& aTried)
 {
-  if (aCall.suspectFingerprint) {
+  if (aCall.suspect) {
     return aTried.empty()
-             ? ChooseIsolated(*aCall.serviceRoute, *aCall.suspectFingerprint)
+             ? ChooseIsolated(*aCall.serviceRoute, aCall.suspect->fingerprint)
              : ChosenTarget{};
   }
   return ChooseTarget(
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -159,7 +159,7 @@
     FingerprintOf(aCall.request), spec.quarantine.threshold, Now());
   if (verdict == Verdict::Refuse) {
     return NotRun{ RefusalReason::Quarantined,
-                   "requests with this fingerprint crash their target" };
+                   std::string(kQuarantinedDetail) };
   }
   if (verdict == Verdict::Isolate && this->IsSuspectRunning()) {
     return NotRun{ RefusalReason::Overloaded,
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -1,6 +1,7 @@
 #include "baobab/node/ingress.hpp"
 
 #include "baobab/core/result.hpp"
+#include "baobab/decision/quarantine.hpp"
 #include "baobab/decision/retry_state.hpp"
 #include "baobab/net/clock.hpp"
 #include "baobab/node/hedge.hpp"
@@ -187,6 +188,10 @@
 Outcome
 Ingress::RunAttempts(const IngressCall& aCall)
 {
+  if (IsQuarantined(aCall)) {
+    return NotRun{ RefusalReason::Quarantined,
+                   std::string(kQuarantinedDetail) };
+  }
   const ServiceSpec& spec = aCall.serviceRoute->service->spec;
   RetryState retryState(
     aCall.terms.idempotent, aCall.route->spec.attempts, aCall.terms.deadline);
--- a/src/baobab/node/ingress_call.cpp
+++ b/src/baobab/node/ingress_call.cpp
@@ -64,22 +64,31 @@
   }
 }
 
-/// Returns the request's fingerprint if it is suspected of crashing targets.
-std::optional<std::uint64_t>
-SuspectFingerprint(const Request& aRequest, const RcuCell<RouteTable>& aRoutes)
+/// Returns the request's suspicion, if it is suspected of crashing targets.
+std::optional<Suspect>
+FindSuspect(const Request& aRequest, const RcuCell<RouteTable>& aRoutes)
 {
-  return aRoutes.Read(
-    [&](const RouteTable& aTable) -> std::optional<std::uint64_t> {
-      if (aTable.suspects.empty()) {
-        return std::nullopt;
-      }
-      const Fingerprint fingerprint = FingerprintOf(aRequest);
-      return std::ranges::binary_search(aTable.suspects, fingerprint)
-               ? std::optional(fingerprint)
-               : std::nullopt;
-    });
+  return aRoutes.Read([&](const RouteTable& aTable) -> std::optional<Suspect> {
+    if (aTable.suspects.empty()) {
+      return std::nullopt;
+    }
+    const Fingerprint fingerprint = FingerprintOf(aRequest);
+    const auto found = std::ranges::lower_bound(
+      aTable.suspects, fingerprint, {}, &Suspect::fingerprint);
+    return found != aTable.suspects.end() && found->fingerprint == fingerprint
+             ? std::optional(*found)
+             : std::nullopt;
+  });
+}
+
 }
 
+bool
+IsQuarantined(const IngressCall& aCall)
+{
+  return aCall.suspect && aCall.serviceRoute &&
+         aCall.suspect->weight >=
+           aCall.serviceRoute->service->spec.quarantine.threshold;
 }
 
 IngressCall
@@ -107,7 +116,7 @@
   });
   call.route = std::move(aRoute);
   call.request = std::move(aRequest);
-  call.suspectFingerprint = SuspectFingerprint(call.request, aRoutes);
+  call.suspect = FindSuspect(call.request, aRoutes);
   return call;
 }
 
--- a/src/baobab/node/route_table.cpp
+++ b/src/baobab/node/route_table.cpp
@@ -110,10 +110,10 @@
 }
 
 std::unique_ptr<RouteTable>
-RouteTableBuilder::Build(std::vector<std::uint64_t> aSuspects)
+RouteTableBuilder::Build(std::vector<Suspect> aSuspects)
 {
   auto table = std::make_unique<RouteTable>();
-  std::ranges::sort(aSuspects);
+  std::ranges::sort(aSuspects, {}, &Suspect::fingerprint);
   table->suspects = std::move(aSuspects);
   table->generation = this->configuration->Generation();
   table->index = this->index;
--- a/src/baobab/node/watched_attempts.cpp
+++ b/src/baobab/node/watched_attempts.cpp
@@ -94,8 +94,8 @@
 {
   const IngressCall& call = aAttempt->call;
   const Duration work = call.route->state->Work(Duration::zero());
-  if (aAttempt->secondRunning || aAttempt->secondOutcome ||
-      call.suspectFingerprint || work == Duration::zero()) {
+  if (aAttempt->secondRunning || aAttempt->secondOutcome || call.suspect ||
+      work == Duration::zero()) {
     return;
   }
   const TimePoint now = Now();
