Quarantine: the number of suspects is bounded

Now at most 4,096 are held; the one with the smallest weight is forgotten first, so that requests that crash targets remain.

--- a/include/baobab/decision/quarantine.hpp
+++ b/include/baobab/decision/quarantine.hpp
@@ -31,7 +31,8 @@
 
 /// Suspicions of having caused a crash, by request. Each crash is attributed in
 /// equal shares to the running requests that were already under suspicion, or
-/// to all running requests if none was.
+/// to all running requests if none was. The number of requests is bounded;
+/// those with the smallest shares are forgotten first.
 class Quarantine
 {
 public:
@@ -119,6 +120,8 @@
   template<class Function>
   void ForEachConfirmed(TimePoint aNow, Function aFunction) const;
 
+  void Forget(Fingerprint aFingerprint);
+  void MakeRoom(TimePoint aNow);
   void Clear(Fingerprint aFingerprint, std::uint64_t aCrash, Entry& aEntry);
 
   /// Entries by request and crash.
--- a/src/baobab/decision/quarantine.cpp
+++ b/src/baobab/decision/quarantine.cpp
@@ -16,6 +16,9 @@
 /// How often a daemon passes a suspicion on.
 constexpr std::uint32_t kTransmissions = 24;
 
+/// Requests that are held at most.
+constexpr std::size_t kMaxRequests = 4096;
+
 /// Part of one suspicion in the digest of all.
 std::uint64_t
 HashOf(Fingerprint aFingerprint, std::uint64_t aCrash, bool aCleared)
@@ -125,6 +128,9 @@
   if (lifetime <= Duration::zero()) {
     return;
   }
+  if (!this->entries.contains(aSuspicion.fingerprint)) {
+    this->MakeRoom(aNow);
+  }
   Entry& entry = this->entries[aSuspicion.fingerprint][aSuspicion.crash];
   const double weight = std::clamp(aSuspicion.weight, 0.0, 1.0);
   const bool isNew = entry.expiresAt == TimePoint{};
@@ -301,6 +307,30 @@
                 [](const auto& aItem) { return aItem.second.empty(); });
 }
 
+/// Forgets the request with the smallest weight if there are too many.
+void
+Quarantine::MakeRoom(TimePoint aNow)
+{
+  if (this->entries.size() < kMaxRequests) {
+    return;
+  }
+  const auto least =
+    std::ranges::min_element(this->entries, {}, [&](const auto& aItem) {
+      return this->WeightOf(aItem.second, aNow);
+    });
+  this->Forget(least->first);
+}
+
+void
+Quarantine::Forget(Fingerprint aFingerprint)
+{
+  const auto found = this->entries.find(aFingerprint);
+  for (const auto& [crash, entry] : found->second) {
+    this->digest ^= HashOf(aFingerprint, crash, entry.cleared);
+  }
+  this->entries.erase(found);
+}
+
 void
 Quarantine::Clear(Fingerprint aFingerprint, std::uint64_t aCrash, Entry& aEntry)
 {
--- a/src/baobab/decision/quarantine_test.cpp
+++ b/src/baobab/decision/quarantine_test.cpp
@@ -118,6 +118,24 @@
   BOOST_TEST(started.Digest() == 0U);
 }
 
+/// Guards against memory that grows with each crash of a busy target.
+BOOST_AUTO_TEST_CASE(the_number_of_suspects_is_bounded_and_culprits_remain)
+{
+  Quarantine quarantine;
+  const std::vector<Fingerprint> culprit{ kCrashing };
+  quarantine.RecordCrash(1, culprit, 600s, kNow);
+  quarantine.RecordCrash(2, culprit, 600s, kNow);
+  for (std::uint64_t crash = 3; crash < 500; ++crash) {
+    const std::vector<Fingerprint> running = RunningWith(1000 * crash);
+    quarantine.RecordCrash(crash, std::span(running).subspan(1), 600s, kNow);
+  }
+  BOOST_TEST(quarantine.Size() <= 4096U);
+  BOOST_TEST(
+    (quarantine.Evaluate(kCrashing, kThreshold, kNow) == Verdict::Refuse));
+  quarantine.Expire(kNow + 601s);
+  BOOST_TEST(quarantine.Digest() == 0U);
+}
+
 /// Guards against a request that crashes the targets of each service that its
 /// route is split between, or is moved to, as if it were another request.
 BOOST_AUTO_TEST_CASE(a_request_is_recognised_whatever_service_runs_it)
