--- a/testing/integration/crashing_request.py
+++ b/testing/integration/crashing_request.py
@@ -3,13 +3,14 @@
 
     crashing_request.py SCENARIO [--method M] [--build B] [--net N] [--keep D]
 
-At most three more targets may crash once the third has crashed and the fleet
+At most three more targets may crash for each request once the third has crashed and the fleet
 was given SETTLING_SECONDS to act on it. Targets that crash in the settling
 time after a restart of a daemon are not counted.
 """
 import argparse
 import http.client
 import pathlib
+import signal
 import sys
 import tempfile
 import threading
@@ -17,6 +18,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "soak"))
 from callers import ANSWERED, Caller  # noqa: E402
+from faults import set_link_faults  # noqa: E402
 from fleet import HOST_HEADER, Fleet  # noqa: E402
 
 HOSTS = 6
@@ -61,10 +63,12 @@
 class Repeater(threading.Thread):
     """Sends the request to one daemon after the other."""
 
-    def __init__(self, fleet, method, stop):
+    def __init__(self, fleet, method, requests, stop):
         super().__init__(daemon=True)
         self.fleet = fleet
         self.method = method
+        self.requests = requests
+        self.request = 0
         self.stop = stop
         self.paused = threading.Event()
         self.answers = []
@@ -73,8 +77,9 @@
         turn = 0
         while not self.stop.is_set():
             turn += 1
+            self.request = turn % self.requests
             if not self.paused.is_set():
-                host = self.fleet.hosts[turn % len(self.fleet.hosts)]
+                host = self.fleet.hosts[turn * 5 % len(self.fleet.hosts)]
                 self.answers.append(
                     (time.monotonic(), host.number, self.send(host, turn)))
             time.sleep(REPEAT_SECONDS)
@@ -82,8 +87,9 @@
     def send(self, host, number):
         connection = http.client.HTTPConnection(host.address, 8080, timeout=5)
         try:
-            body = "poison" if self.method == "POST" else None
-            path = "/order" if self.method == "POST" else "/poison"
+            post = self.method == "POST"
+            body = f"poison {self.request}" if post else None
+            path = "/order" if post else f"/poison/{self.request}"
             connection.request(self.method, path, body,
                                {"Host": HOST_HEADER, "X-Call-Id": str(number)})
             answer = connection.getresponse()
@@ -113,6 +119,19 @@
         time.sleep(REPEATED_SECONDS)
 
 
+def disrupt(fleet):
+    """Cuts off one daemon, freezes another and resets links, while the requests
+    are sent."""
+    others = ", ".join(f'"{host.address}"' for host in fleet.hosts[1:])
+    set_link_faults(fleet.hosts[0], f'{{"cut_from": [{others}]}}')
+    fleet.hosts[1].daemon.send(signal.SIGSTOP)
+    time.sleep(REPEATED_SECONDS)
+    set_link_faults(fleet.hosts[0], '{"cut_from": []}')
+    fleet.hosts[1].daemon.send(signal.SIGCONT)
+    for host in fleet.hosts:
+        set_link_faults(host, '{"reset": true}')
+
+
 def answered_share(results, since):
     late = [result for result in results if result.began > since]
     if not late:
@@ -138,7 +157,7 @@
                for host in fleet.hosts
                for number in (host.number * 2, host.number * 2 + 1)]
     supervisor = Supervisor(fleet, stop)
-    repeater = Repeater(fleet, arguments.method, stop)
+    repeater = Repeater(fleet, arguments.method, arguments.requests, stop)
     began = time.monotonic()
     for thread in [supervisor, *callers]:
         thread.start()
@@ -146,13 +165,14 @@
     if arguments.scenario == "store_outage":
         fleet.set_store_faults('{"outage": true}')
     repeater.start()
-    wait_for_crashes(supervisor, 3, 15)
-    third = (supervisor.crashes[2][0] if len(supervisor.crashes) >= 3
-             else time.monotonic())
+    wait_for_crashes(supervisor, 3 * arguments.requests, 15)
+    third = time.monotonic()
     time.sleep(SETTLING_SECONDS)
     if arguments.scenario == "store_outage":
         fleet.set_store_faults('{"outage": false}')
         time.sleep(SETTLING_SECONDS)
+    if arguments.scenario == "disrupted":
+        disrupt(fleet)
     if arguments.scenario != "calm":
         restart(fleet, repeater, RESTART_GAP_SECONDS
                 if arguments.scenario == "restart_each" else 0)
@@ -168,7 +188,7 @@
             not any(0 <= at - restart < SETTLING_SECONDS
                     for restart in restarts)]
     problems = []
-    if len(late) > MAX_LATE_CRASHES:
+    if len(late) > MAX_LATE_CRASHES * arguments.requests:
         problems.append(f"{len(late)} targets crashed late: {late}")
     share = answered_share(results, ended - REPEATED_SECONDS)
     if share < MIN_ANSWERED:
@@ -189,7 +209,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("scenario",
                         choices=["calm", "restart_each", "restart_all",
-                                 "store_outage"])
+                                 "store_outage", "disrupted"])
+    parser.add_argument("--requests", type=int, default=1,
+                        help="number of different requests that crash targets")
     parser.add_argument("--method", default="POST", choices=["GET", "POST"])
     parser.add_argument("--build", default="build")
     parser.add_argument("--net", default="127.20.30")
