--- a/testing/target_standin.cpp
+++ b/testing/target_standin.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Stand-in for a target. It draws service times, announces its state and slots
 /// to its daemon, drains, starts slowly, stalls, crashes on marked requests,
+/// names a limit of requests or its leaving in its answers,
 /// announces a wrong number of slots, and records the requests that it runs.
 #include "baobab/core/random.hpp"
 #include "baobab/net/http_client.hpp"
@@ -99,6 +100,14 @@
       this->slowdown = std::stod(aRequest.body);
       return TextResponse(200, "ok\n");
     }
+    if (aRequest.target == "/control/limit") {
+      this->limit = aRequest.body == "off" ? std::string() : aRequest.body;
+      return TextResponse(200, "ok\n");
+    }
+    if (aRequest.target == "/control/leave_in_answers") {
+      this->leavingInAnswers = true;
+      return TextResponse(200, "ok\n");
+    }
     if (aRequest.target == "/control/load") {
       return TextResponse(200, std::to_string(this->running) + "\n");
     }
@@ -141,6 +150,12 @@
     --this->running;
     Response response = TextResponse(200, "");
     response.headers.push_back({ "X-Call-Id", std::string(call) });
+    if (!this->limit.empty()) {
+      response.headers.push_back({ "Baobab-Limit", this->limit });
+    }
+    if (this->leavingInAnswers) {
+      response.headers.push_back({ "Baobab-Leaving", "1" });
+    }
     response.body = "answer to " + std::string(call) + " " + aRequest.body;
     return response;
   }
@@ -210,6 +225,9 @@
   std::unique_ptr<HttpClient> client;
   std::string state = "ready";
   bool stalled = false;
+  /// Requests per second that the answers name; empty: none.
+  std::string limit;
+  bool leavingInAnswers = false;
   double slowdown = FLAGS_slowdown;
   int running = 0;
 };
