Targets get no more requests a second than they name in their answers

Change: the daemon beside the target, through which every request passes, keeps a token bucket of the named rate; what exceeds it is refused at once as rate-limited and goes elsewhere, or back to the caller with Retry-After. Senders avoid the target until their turn, and tell its daemon the limit after a restart. The limit ends with the first answer that names none. headers.limit sets the name. Ruled out: shares by sender (docs/design/admission.md).

--- a/include/baobab/core/outcome.hpp
+++ b/include/baobab/core/outcome.hpp
@@ -30,10 +30,12 @@
   Shed,
   /// The target's address now belongs to another instance.
   WrongInstance,
+  /// The target takes no more requests a second.
+  RateLimited,
 };
 
 /// Highest value of RefusalReason, to check values that are received.
-constexpr RefusalReason kLastRefusalReason = RefusalReason::WrongInstance;
+constexpr RefusalReason kLastRefusalReason = RefusalReason::RateLimited;
 
 /// Returns the name of a reason in logs and metrics. These names are stable.
 std::string_view Name(RefusalReason aReason);
--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -91,6 +91,9 @@
   std::string load = "Baobab-Load";
   /// From targets: their instance.
   std::string instance = "Baobab-Instance";
+  /// From targets, in each answer while it holds: requests a second that the
+  /// target takes from all daemons together.
+  std::string requestLimit = "Baobab-Limit";
   /// From targets, in each answer while they are leaving: 1.
   std::string leaving = "Baobab-Leaving";
   /// True if the statuses 408, 421, 429 and 503 tell callers that the request
--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -135,6 +135,15 @@
               LogField{ "fingerprints", "hashes of some of these requests" } }
 };
 
+inline constexpr LogEvent kTargetLimit{
+  "target_limit",
+  "target",
+  LogLevel::Info,
+  LogDropPolicy::DropFirst,
+  "The limit of requests that the target names has changed.",
+  std::array{ LogField{ "requests_per_second", "0 if the limit has ended" } }
+};
+
 inline constexpr LogEvent kQuarantineRead{
   "quarantine_read",
   "target",
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -7,6 +7,7 @@
 #include "baobab/decision/announcement_filter.hpp"
 #include "baobab/decision/call_ledger.hpp"
 #include "baobab/decision/quarantine.hpp"
+#include "baobab/decision/request_limit.hpp"
 #include "baobab/node/admission_log.hpp"
 #include "baobab/node/call_stats.hpp"
 #include "baobab/node/crash_detector.hpp"
@@ -87,6 +88,12 @@
 
   const TargetStats& Stats() const { return this->stats; }
 
+  /// Requests a second that the target takes; nothing if it named no limit.
+  const std::optional<double>& TargetRequestLimit() const
+  {
+    return this->requestLimit.Rate();
+  }
+
   /// Admission control of the local target.
   const Admission& AdmissionControl() const { return this->admission; }
 
@@ -145,6 +152,7 @@
   void ApplySignals(const TargetSignals& aSignals, std::string_view aInstance);
   void UpdateLoad(const LoadReport& aLoad);
   void SendLoadUpdates();
+  NotRun LimitRefusal() const;
   bool IsSuspectRunning() const;
   void RecordBrokenConnection(Fingerprint aFingerprint);
   Duration SuspicionLifetime() const;
@@ -160,6 +168,7 @@
   CrashDetector crashDetector;
   Admission admission;
   CallLedger ledger;
+  RequestLimit requestLimit;
   bool shuttingDown = false;
   AnnouncementFilter announcements;
   TargetStats stats;
--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -57,6 +57,8 @@
   bool traced = false;
   /// Expected size of the answer; 0 if not known.
   std::int64_t answerBytes = 0;
+  /// Limit of requests a second that the target named lately.
+  std::optional<double> targetLimit;
 };
 
 /// Identifies a worker to the daemons that it calls.
--- a/include/baobab/node/route_table.hpp
+++ b/include/baobab/node/route_table.hpp
@@ -10,6 +10,7 @@
 #include "baobab/decision/member.hpp"
 #include "baobab/decision/suspicion.hpp"
 #include "baobab/decision/target_load.hpp"
+#include "baobab/node/named_limit.hpp"
 #include "baobab/node/route_index.hpp"
 #include "baobab/node/service_state.hpp"
 
@@ -36,6 +37,7 @@
   Endpoint endpoint;
   TargetLoad load;
   Breaker breaker;
+  NamedLimit namedLimit;
 };
 
 /// A service with its targets, grouped by distance from this daemon.
--- a/include/baobab/wire/peer_message.hpp
+++ b/include/baobab/wire/peer_message.hpp
@@ -58,6 +58,9 @@
   bool traced = false;
   /// Expected size of the answer; 0 if unknown.
   std::uint64_t answerBytes = 0;
+  /// Limit of requests a second that the sender saw in the target's last
+  /// answer.
+  std::optional<double> targetLimit;
 };
 
 struct AnswerMessage
--- a/src/baobab/core/outcome.cpp
+++ b/src/baobab/core/outcome.cpp
@@ -32,6 +32,8 @@
       return "shed";
     case RefusalReason::WrongInstance:
       return "wrong-instance";
+    case RefusalReason::RateLimited:
+      return "rate-limited";
   }
   return "overloaded";
 }
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -97,6 +97,11 @@
     "instance",
     [](S& s) -> auto& { return s.headers.instance; },
     "From targets: their instance."));
+  add(HeaderNameField(
+    "limit",
+    [](S& s) -> auto& { return s.headers.requestLimit; },
+    "From targets, in each answer while it holds: requests a second that the "
+    "target takes from all daemons together."));
   add(HeaderNameField(
     "leaving",
     [](S& s) -> auto& { return s.headers.leaving; },
--- a/src/baobab/decision/retry_state.cpp
+++ b/src/baobab/decision/retry_state.cpp
@@ -31,6 +31,7 @@
     case RefusalReason::Fenced:
     case RefusalReason::Unreachable:
     case RefusalReason::Overloaded:
+    case RefusalReason::RateLimited:
       return RefusalClass::NoLoad;
     case RefusalReason::Shed:
     case RefusalReason::WrongInstance:
--- a/src/baobab/net/log_events.cpp
+++ b/src/baobab/net/log_events.cpp
@@ -22,6 +22,7 @@
         kAnnouncementInvalid,
         kTargetCrashed,
         kTargetConnectionLost,
+        kTargetLimit,
         kQuarantineRead,
         kQuarantineStored,
         kQuarantineNotStored,
--- a/src/baobab/node/attempt_runner.cpp
+++ b/src/baobab/node/attempt_runner.cpp
@@ -4,12 +4,22 @@
 #include "baobab/net/clock.hpp"
 #include "baobab/node/target_signals.hpp"
 
+#include <algorithm>
+
 namespace baobab {
 namespace {
 
 /// Time for which a target that refused a call as not ready gets no calls.
 constexpr Duration kNotReadyPause = 1s;
 
+/// Longest time for which a target that has reached its limit of requests gets
+/// no calls.
+constexpr Duration kMaxLimitPause = 5s;
+
+/// Time for which the limit in a target's last answer is passed on to its
+/// daemon, which may have restarted.
+constexpr Duration kLimitMemory = 10s;
+
 /// Estimated bytes of a call besides its body and path, for the cross-region
 /// call budget.
 constexpr std::int64_t kCallOverheadBytes = 512;
@@ -39,14 +49,18 @@
 }
 
 void
-RecordRefusal(TargetEntry& aTarget, RefusalReason aReason)
+RecordRefusal(TargetEntry& aTarget, const NotRun& aRefusal)
 {
-  switch (aReason) {
+  switch (aRefusal.reason) {
     case RefusalReason::Leaving:
     case RefusalReason::NotReady:
     case RefusalReason::WrongService:
       aTarget.breaker.OpenFor(Now(), kNotReadyPause);
       break;
+    case RefusalReason::RateLimited:
+      aTarget.breaker.OpenFor(
+        Now(), std::min<Duration>(aRefusal.retryAfter, kMaxLimitPause));
+      break;
     case RefusalReason::Unreachable:
       aTarget.breaker.RecordFailure(Now());
       break;
@@ -133,6 +147,7 @@
   terms.work = EstimatedWork(aCall);
   terms.alternative = aChosen.alternative;
   terms.answerBytes = aCall.route->state->AnswerBytes();
+  terms.targetLimit = target.namedLimit.Get(record.startedAt - kLimitMemory);
   AttemptResult result =
     this->links.Get(target.endpoint)->Run(aCall.request, terms, &aCancellation);
   target.load.EndAttempt();
@@ -204,11 +219,14 @@
       [&](const Answered& aAnswer) {
         RecordAnswer(
           aCall, aTarget, aResult, aAnswer.response.body.size(), aLatency);
-        if (ReadSignals(aAnswer.response, this->settings.headers).leaving) {
+        const TargetSignals signals =
+          ReadSignals(aAnswer.response, this->settings.headers);
+        if (signals.leaving) {
           aTarget.breaker.OpenFor(Now(), kNotReadyPause);
         }
+        aTarget.namedLimit.Set(signals.requestLimit, Now());
       },
-      [&](const NotRun& aRefusal) { RecordRefusal(aTarget, aRefusal.reason); },
+      [&](const NotRun& aRefusal) { RecordRefusal(aTarget, aRefusal); },
       [&](const OutcomeUnknown& aUnknown) {
         RecordUnknown(aTarget, aUnknown.cause);
       },
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -19,6 +19,9 @@
 /// Largest expected size of an answer that is accepted from a sender.
 constexpr std::uint64_t kMaxAnswerBytes = 64U << 20U;
 
+/// Time since its last call for which a sender takes part in turns.
+constexpr Duration kActiveSenderWindow = 5s;
+
 AdmissionLimits
 AdmissionLimitsOf(const ServiceSpec& aSpec, const Settings& aSettings)
 {
@@ -146,6 +149,12 @@
     return NotRun{ RefusalReason::WrongService,
                    "the target runs another service" };
   }
+  if (aCall.targetLimit) {
+    this->requestLimit.OnReport(*aCall.targetLimit, Now());
+  }
+  if (this->requestLimit.TimeUntilNext(Now()) > Duration::zero()) {
+    return this->LimitRefusal();
+  }
   const auto route = this->findService(aCall.request.service);
   if (!route) {
     return std::nullopt;
@@ -227,6 +236,7 @@
   }
   if (aAnnouncement.instance != instance) {
     this->admission.ForgetTarget();
+    this->requestLimit.Reset();
   }
   this->target.SetTarget(aAnnouncement.address, aAnnouncement.instance);
   this->ApplyDequeued(
@@ -356,6 +366,14 @@
 CallServer::StartCall(WaitingCall aWaiting)
 {
   const CallId id = aWaiting.call.id;
+  if (!this->requestLimit.TryStart(Now())) {
+    this->RefuseCall(aWaiting.call,
+                     this->LimitRefusal(),
+                     aWaiting.arrivedAt,
+                     aWaiting.deadline);
+    this->ApplyDequeued(this->admission.ReleaseSlot(Now()));
+    return;
+  }
   if (!this->ledger.Start(id)) {
     this->ApplyDequeued(this->admission.ReleaseSlot(Now()));
     return;
@@ -454,6 +472,11 @@
   if (this->announcements.Current().instance != aInstance) {
     return;
   }
+  const auto before = this->requestLimit.Rate();
+  this->requestLimit.OnAnswer(aSignals.requestLimit, Now());
+  if (this->requestLimit.Rate() != before) {
+    Log(kTargetLimit, this->requestLimit.Rate().value_or(0));
+  }
   if (aSignals.leaving && this->admission.State() != TargetState::Leaving) {
     this->OnDeparture(aInstance);
   }
@@ -575,6 +598,23 @@
   }
 }
 
+/// Returns the refusal of a call beyond the target's limit. Its time to come
+/// back lets the daemons that sent calls lately take turns.
+NotRun
+CallServer::LimitRefusal() const
+{
+  const TimePoint now = Now();
+  const auto active =
+    std::ranges::count_if(this->senders, [&](const auto& aItem) {
+      return now - aItem.second.lastCallAt < kActiveSenderWindow;
+    });
+  NotRun refusal{ RefusalReason::RateLimited,
+                  "the target takes no more requests a second" };
+  refusal.retryAfter = std::chrono::duration_cast<Micros>(LimitPause(
+    this->requestLimit.Rate().value_or(0), static_cast<std::size_t>(active)));
+  return refusal;
+}
+
 bool
 CallServer::IsSuspectRunning() const
 {
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -120,7 +120,8 @@
         std::chrono::duration_cast<Micros>(aPending.terms.work),
         std::chrono::duration_cast<Micros>(aPending.terms.alternative),
         aPending.terms.traced,
-        static_cast<std::uint64_t>(aPending.terms.answerBytes) });
+        static_cast<std::uint64_t>(aPending.terms.answerBytes),
+        aPending.terms.targetLimit });
       break;
     case AttemptAction::SendAsk:
       this->connection->Send(
--- a/src/baobab/node/responses.cpp
+++ b/src/baobab/node/responses.cpp
@@ -30,6 +30,7 @@
     case RefusalReason::Expired:
     case RefusalReason::Shed:
     case RefusalReason::WrongInstance:
+    case RefusalReason::RateLimited:
       return kUnavailable;
     case RefusalReason::Quarantined:
       return kBadGateway;
--- a/src/baobab/node/target_client_test.cpp
+++ b/src/baobab/node/target_client_test.cpp
@@ -146,6 +146,25 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(
+  the_signals_of_an_answer_are_read_and_odd_limits_count_as_none)
+{
+  const auto signalsOf = [](const std::string& aLimit) {
+    const HeaderNames names;
+    const Response answer{
+      200, { { names.requestLimit, aLimit }, { names.leaving, "1" } }, ""
+    };
+    return ReadSignals(answer, names);
+  };
+  BOOST_TEST(signalsOf("4.6").leaving);
+  BOOST_TEST(signalsOf("4.6").requestLimit.value_or(-1) == 4.6);
+  BOOST_TEST(signalsOf("0").requestLimit.value_or(-1) == 0);
+  for (const std::string odd :
+       { "", "x", "-1", "nan", "inf", "1e999", "4 6", "0x10", "4,6" }) {
+    BOOST_TEST(!signalsOf(odd).requestLimit, "'" << odd << "'");
+  }
+}
+
 /// Guards against "not run" for a request whose first exchange may have run.
 BOOST_AUTO_TEST_CASE(a_refusal_after_a_lost_connection_is_not_passed_on)
 {
--- a/src/baobab/wire/peer_decode.cpp
+++ b/src/baobab/wire/peer_decode.cpp
@@ -6,6 +6,7 @@
 #include "packed_texts.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 
 namespace baobab {
@@ -116,6 +117,9 @@
   message.alternative = ToMicros(aCall.alternative_us());
   message.traced = aCall.traced();
   message.answerBytes = aCall.answer_bytes();
+  if (std::isfinite(aCall.target_limit()) && aCall.target_limit() >= 0) {
+    message.targetLimit = aCall.target_limit();
+  }
   return PeerMessage(std::move(message));
 }
 
--- a/src/baobab/wire/peer_encode.cpp
+++ b/src/baobab/wire/peer_encode.cpp
@@ -119,7 +119,8 @@
                           ToWireMicros(aMessage.work),
                           ToWireMicros(aMessage.alternative),
                           aMessage.traced,
-                          aMessage.answerBytes)
+                          aMessage.answerBytes,
+                          aMessage.targetLimit.value_or(-1))
              .Union() };
 }
 
--- a/testing/integration/request_limit_test.sh
+++ b/testing/integration/request_limit_test.sh
@@ -29,6 +29,7 @@
 # A limit of which the answers no longer speak is over.
 curl -fs -o /dev/null -d off "http://$NET.1:8000/control/limit"
 before=$(wc -l <"$WORK/record-1")
+SEED=2
 start_load unlimited 6 80 0.5 1 2 3 4
 finish_load unlimited
 require_answered unlimited 95
