Target client: a connection that carried a refusal is not kept

Report of other operators: a target repeats an earlier refusal on a kept connection, and a request that runs is reported as not run. Here the request's id tells a repetition apart, unless it is the same request on a later attempt. The new test failed in that case before (idempotent requests only; others never use a kept connection). A second report, answers that end within their head, could not be brought about: the answer cut after every byte, with five framings, is never a success.

--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -199,11 +199,15 @@
              error.kind == ErrorKind::ConnectionLost &&
                !aClient->ResponseStarted() };
   }
-  this->ReturnToPool(std::move(aClient));
   const TargetSignals signals =
     ReadSignals(Value(response), this->settings.headers);
   TargetResult result = this->ClassifyAnswer(aCall, std::move(Value(response)));
   result.signals = signals;
+  // A target may repeat a refusal. On a connection of its own, the repetition
+  // cannot be taken for the answer to a later attempt of the same request.
+  if (!std::holds_alternative<NotRun>(result.outcome)) {
+    this->ReturnToPool(std::move(aClient));
+  }
   return result;
 }
 
--- a/src/baobab/node/target_client_test.cpp
+++ b/src/baobab/node/target_client_test.cpp
@@ -183,6 +183,44 @@
   });
 }
 
+/// Guards against "not run" for a request that runs, because the target repeats
+/// the refusal of an earlier one, or of an earlier attempt of the same one.
+BOOST_AUTO_TEST_CASE(a_repeated_refusal_is_not_used_for_a_later_request)
+{
+  for (const std::string later : { "r1", "r2" }) {
+    const std::string refusal =
+      "HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nBaobab-Not-Run: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+    ScriptedTarget target{ { refusal, refusal + Answer(later, "answer") } };
+    target.Run([&](TargetClient& aClient) {
+      BOOST_TEST(std::holds_alternative<NotRun>(RunOne(aClient, "r1").outcome));
+      target.answers = { Answer(later, "answer") };
+      BOOST_TEST(BodyOf(RunOne(aClient, later)) == "answer");
+    });
+  }
+}
+
+/// Guards against a success made of an answer whose target stopped in the
+/// middle of its head.
+BOOST_AUTO_TEST_CASE(an_answer_that_ends_within_its_head_is_not_passed_on)
+{
+  for (const std::string framing : { "Content-Length: 4\r\n",
+                                     "Content-Length: 0\r\n",
+                                     "",
+                                     "Transfer-Encoding: chunked\r\n",
+                                     "Connection: close\r\n" }) {
+    const std::string head =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nStamp: s\r\n" + framing + "\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length) {
+      ScriptedTarget target{ { head.substr(0, length) } };
+      target.Run([&](TargetClient& aClient) {
+        BOOST_TEST(IsUnknown(RunOne(aClient, "r1", false, "order")),
+                   "cut after " << head.substr(0, length));
+      });
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_with_another_request_id_is_not_passed_on)
 {
   ScriptedTarget target{ { Answer("other", "theirs") } };
