HTTP server: a request that is complete only during a shutdown is refused

Report of other operators: requests that came late in the grace of a planned stop were passed on and cut at its end. Here it could happen to a request whose head had been read before, and whose body ended later: it was passed on with less time left than it may need. Such a request now gets 503, not run, with Retry-After, and the connection ends.

--- a/include/baobab/net/http_server.hpp
+++ b/include/baobab/net/http_server.hpp
@@ -40,6 +40,8 @@
   HeaderTooLarge,
   BodyTooLarge,
   TimedOut,
+  /// The request was complete only after the server had begun to stop.
+  Stopping,
 };
 
 /// Notifies a request handler when the caller closes its connection.
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -181,6 +181,9 @@
 
   bool HandleRequest(http::request<http::string_body> aMessage)
   {
+    if (this->state.KeepAliveStopped()) {
+      return this->Refuse(HttpRequestError::Stopping);
+    }
     const bool keepAlive = aMessage.keep_alive();
     const unsigned version = aMessage.version();
     Request request{ "",
@@ -251,10 +254,15 @@
     if (!isTimeout && IsDisconnect(aError)) {
       return false;
     }
+    return this->Refuse(isTimeout ? HttpRequestError::TimedOut
+                                  : RequestErrorOf(aError));
+  }
+
+  /// Responds with an error and ends the connection.
+  bool Refuse(HttpRequestError aError)
+  {
     constexpr unsigned kHttp11 = 11;
-    const HttpRequestError requestError =
-      isTimeout ? HttpRequestError::TimedOut : RequestErrorOf(aError);
-    this->Write(this->handler.handleError(requestError), "GET", kHttp11, false);
+    this->Write(this->handler.handleError(aError), "GET", kHttp11, false);
     this->Linger();
     return false;
   }
--- a/src/baobab/net/http_server_test.cpp
+++ b/src/baobab/net/http_server_test.cpp
@@ -128,6 +128,35 @@
   });
 }
 
+/// Guards against requests that are taken late in a shutdown and cut off by its
+/// end.
+BOOST_AUTO_TEST_CASE(a_request_that_is_complete_only_during_shutdown_is_refused)
+{
+  TestServer server;
+  bool handled = false;
+  server.handler.handleRequest = [&](Request&&, DisconnectNotifier&) {
+    handled = true;
+    return TextResponse(200, "ok");
+  };
+  std::optional<HttpRequestError> error;
+  server.handler.handleError = [&](HttpRequestError aError) {
+    error = aError;
+    return TextResponse(503, "stopping");
+  };
+  server.Run([&](Tcp::socket& aCaller) {
+    SendText(aCaller,
+             "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+    boost::this_fiber::sleep_for(50ms);
+    server.state.StopKeepAlive();
+    SendText(aCaller, "cd");
+    const std::string answer = ReadAll(aCaller);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+  });
+  BOOST_TEST(!handled);
+  BOOST_TEST((error == HttpRequestError::Stopping));
+}
+
 BOOST_AUTO_TEST_CASE(too_large_body_is_rejected_before_it_is_read)
 {
   TestServer server;
--- a/src/baobab/node/responses.cpp
+++ b/src/baobab/node/responses.cpp
@@ -67,6 +67,13 @@
     case HttpRequestError::TimedOut:
       return TextResponse(
         408, "Not run: the request was not received in time. Send it again.\n");
+    case HttpRequestError::Stopping: {
+      Response response = TextResponse(
+        kUnavailable,
+        "Not run: the daemon is shutting down. Send it to another host.\n");
+      response.headers.push_back({ "Retry-After", "1" });
+      return response;
+    }
     case HttpRequestError::Malformed:
       break;
   }
