Call server: a queue that is refused as a whole is not refused recursively

A waiting call that cannot start (the target's limit is reached, or the call was fenced) frees its slot, which starts the next one, and so on: one stack frame set for each waiting call, on a fiber's small stack. Found by reading the change for limits; not reproduced. ApplyDequeued now works through the calls in a loop.

--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -128,14 +128,14 @@
 
   void Admit(CallMessage aCall, TimePoint aDeadline);
   std::optional<NotRun> EarlyRefusal(const CallMessage& aCall);
-  void ApplyDequeued(const std::vector<DequeuedCall>& aDequeued);
+  void ApplyDequeued(std::vector<DequeuedCall> aDequeued);
   void SendRefusal(const CallId& aId, NotRun aRefusal);
   void RefuseCall(const CallMessage& aCall,
                   NotRun aRefusal,
                   TimePoint aArrivedAt,
                   TimePoint aDeadline);
   void RefuseWaiting(const CallId& aId, NotRun aRefusal);
-  void StartCall(WaitingCall aWaiting);
+  std::vector<DequeuedCall> StartCall(WaitingCall aWaiting);
   void RunCall(const CallMessage& aCall, TimePoint aDeadline);
   void FinishCall(const CallMessage& aCall,
                   TargetResult aResult,
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -118,7 +118,8 @@
     this->admission.Offer(id, admissionRequest, now);
   std::visit(Overloaded{
                [&](const StartNow&) {
-                 this->StartCall({ std::move(aCall), now, aDeadline });
+                 this->ApplyDequeued(
+                   this->StartCall({ std::move(aCall), now, aDeadline }));
                },
                [&](const Queued&) {
                  if (aCall.traced) {
@@ -316,13 +317,17 @@
 }
 
 void
-CallServer::ApplyDequeued(const std::vector<DequeuedCall>& aDequeued)
+CallServer::ApplyDequeued(std::vector<DequeuedCall> aDequeued)
 {
-  for (const DequeuedCall& dequeued : aDequeued) {
+  // A call that cannot start after all makes room for the next one. Not
+  // recursive, because the whole queue may have to be refused.
+  for (std::size_t i = 0; i < aDequeued.size(); ++i) {
+    const DequeuedCall dequeued = aDequeued[i];
     if (const auto* refusal = std::get_if<NotRun>(&dequeued.decision)) {
       this->RefuseWaiting(dequeued.id, *refusal);
     } else if (auto found = this->waiting.extract(dequeued.id)) {
-      this->StartCall(std::move(found.mapped()));
+      std::ranges::move(this->StartCall(std::move(found.mapped())),
+                        std::back_inserter(aDequeued));
     }
   }
 }
@@ -362,7 +367,9 @@
   }
 }
 
-void
+/// Sends a call to the target. Returns the waiting calls to handle next if it
+/// cannot start.
+std::vector<DequeuedCall>
 CallServer::StartCall(WaitingCall aWaiting)
 {
   const CallId id = aWaiting.call.id;
@@ -371,12 +378,10 @@
                      this->LimitRefusal(),
                      aWaiting.arrivedAt,
                      aWaiting.deadline);
-    this->ApplyDequeued(this->admission.ReleaseSlot(Now()));
-    return;
+    return this->admission.ReleaseSlot(Now());
   }
   if (!this->ledger.Start(id)) {
-    this->ApplyDequeued(this->admission.ReleaseSlot(Now()));
-    return;
+    return this->admission.ReleaseSlot(Now());
   }
   // Added before the fiber runs, so that a cancel message that directly follows
   // the call finds the entry.
@@ -398,6 +403,7 @@
   Spawn([this, call = std::move(aWaiting.call), deadline = aWaiting.deadline] {
     this->RunCall(call, deadline);
   });
+  return {};
 }
 
 void
