Quarantine: copies of a request that run together count as one

A target that runs a request several times when it crashes divided the blame among the copies: each crash counted a half or less, and the suspicion was never confirmed, so it was not kept in the object store. Seen in the log of the crashing GET (one fingerprint twice among two suspects). The new test failed before in two checks; fingerprints are now counted once.

--- a/src/baobab/decision/quarantine.cpp
+++ b/src/baobab/decision/quarantine.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <numeric>
 #include <ranges>
+#include <set>
 #include <xxhash.h>
 
 namespace baobab {
@@ -60,13 +61,15 @@
                         Duration aLifetime,
                         TimePoint aNow)
 {
+  // Several requests with the same fingerprint count as one.
+  const std::set<Fingerprint> running(aRunning.begin(), aRunning.end());
   std::vector<Fingerprint> suspected;
   std::ranges::copy_if(
-    aRunning, std::back_inserter(suspected), [&](Fingerprint aFingerprint) {
+    running, std::back_inserter(suspected), [&](Fingerprint aFingerprint) {
       return this->IsSuspected(aFingerprint, aNow);
     });
   if (suspected.empty()) {
-    suspected.assign(aRunning.begin(), aRunning.end());
+    suspected.assign(running.begin(), running.end());
   }
   const double weight =
     1.0 / static_cast<double>(std::max<std::size_t>(1, suspected.size()));
--- a/src/baobab/decision/quarantine_test.cpp
+++ b/src/baobab/decision/quarantine_test.cpp
@@ -118,6 +118,19 @@
   BOOST_TEST(started.Digest() == 0U);
 }
 
+/// Guards against a request that shares the blame with copies of itself, so
+/// that it is refused late and never kept as confirmed.
+BOOST_AUTO_TEST_CASE(copies_of_a_request_that_run_together_count_as_one)
+{
+  Quarantine quarantine;
+  const std::vector<Fingerprint> copies(5, kCrashing);
+  quarantine.RecordCrash(1, copies, 600s, kNow);
+  BOOST_TEST(quarantine.Confirmed(kNow).size() == 1U);
+  quarantine.RecordCrash(2, copies, 600s, kNow);
+  BOOST_TEST(
+    (quarantine.Evaluate(kCrashing, kThreshold, kNow) == Verdict::Refuse));
+}
+
 /// Guards against memory that grows with each crash of a busy target.
 BOOST_AUTO_TEST_CASE(the_number_of_suspects_is_bounded_and_culprits_remain)
 {
