--- a/src/baobab/decision/quarantine_test.cpp
+++ b/src/baobab/decision/quarantine_test.cpp
@@ -89,10 +89,10 @@
 /// targets, because its peers no longer send what they all know.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_later_learns_of_every_suspicion)
 {
-  constexpr int kCrashes = 20;
+  constexpr std::uint64_t kCrashes = 20;
   Quarantine running;
-  for (int crash = 1; crash <= kCrashes; ++crash) {
-    const auto first = static_cast<Fingerprint>(1000 * crash);
+  for (std::uint64_t crash = 1; crash <= kCrashes; ++crash) {
+    const Fingerprint first = 1000 * crash;
     running.RecordCrash(crash, RunningWith(first), 600s, kNow);
   }
   running.RecordCompletion(1005, 200, kNow);
--- a/src/baobab/decision/suspicion_list_test.cpp
+++ b/src/baobab/decision/suspicion_list_test.cpp
@@ -36,7 +36,9 @@
                                  "zz 3 1 9999999999999",
                                  "2 3 1 -5",
                                  "2 3 1 1" }) {
-    const auto read = ParseSuspicions(odd + "\n" + good + odd, kNow);
+    std::string text = odd;
+    text.append("\n").append(good).append(odd);
+    const auto read = ParseSuspicions(text, kNow);
     BOOST_TEST(read.size() == 1U, "with '" << odd << "'");
   }
 }
