--- a/testing/integration/crashing_request.py
+++ b/testing/integration/crashing_request.py
@@ -101,19 +101,27 @@
             connection.close()
 
 
-def restart(fleet, repeater, gap):
-    """Restarts all daemons, `gap` seconds apart. The request is not sent until
-    they have settled, so that crashes show what they still know."""
+def restart(fleet, repeater, gap, power_loss=False):
+    """Restarts all daemons, `gap` seconds apart, and with a loss of power their
+    targets too. The request is not sent until they have settled, so that crashes
+    show what they still know."""
     for _ in range(RESTARTS):
         repeater.paused.set()
+        if power_loss:
+            # Targets that crashed are running again by then.
+            time.sleep(2 * TARGET_DOWN_SECONDS)
         for host in fleet.hosts:
             host.kill_daemon()
+            if power_loss:
+                host.target.end(signal.SIGKILL)
             if gap > 0:
                 host.daemon.start()
                 time.sleep(gap)
         for host in fleet.hosts:
             if gap == 0:
                 host.daemon.start()
+            if power_loss:
+                host.start_target()
         time.sleep(SETTLING_SECONDS)
         repeater.paused.clear()
         time.sleep(REPEATED_SECONDS)
@@ -175,7 +183,8 @@
         disrupt(fleet)
     if arguments.scenario != "calm":
         restart(fleet, repeater, RESTART_GAP_SECONDS
-                if arguments.scenario == "restart_each" else 0)
+                if arguments.scenario == "restart_each" else 0,
+                arguments.scenario == "power_loss")
     time.sleep(REPEATED_SECONDS)
     ended = time.monotonic()
     stop.set()
@@ -209,7 +218,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("scenario",
                         choices=["calm", "restart_each", "restart_all",
-                                 "store_outage", "disrupted"])
+                                 "store_outage", "disrupted",
+                                 "power_loss"])
     parser.add_argument("--requests", type=int, default=1,
                         help="number of different requests that crash targets")
     parser.add_argument("--method", default="POST", choices=["GET", "POST"])
