--- a/review/standins.py
+++ b/review/standins.py
@@ -431,7 +431,7 @@
         sockets = []
         try:
             for number in range(1, count + 1):
-                for offset in range(6):
+                for offset in range(8):
                     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                         probe = socket.socket(socket.AF_INET, kind)
                         sockets.append(probe)
