Fiber scheduler: I/O handlers run only on the dispatcher

Cause: pick_next() polled the I/O context at every 64th pick, on the stack of the fiber that was being suspended. Such a fiber may still hold the spinlock of the condition variable, mutex, future or fiber it is going to wait for; the library releases it only on the next fiber. A handler that notified the same condition variable (a caller that has closed cancels its attempt, which sets a FiberEvent) waited for that lock on the only thread that could release it.

Ruled out: handlers that notify from another thread (they would wait for a moment only), and the waker of Await, which takes no lock.

Fix: the context is polled only in the dispatcher's turn, which comes after all fibers that are ready. There no fiber is half suspended, and handlers already ran there while no fiber was ready.

--- a/src/baobab/net/fiber_scheduler.cpp
+++ b/src/baobab/net/fiber_scheduler.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/context.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/fiber/scheduler.hpp>
 
@@ -33,7 +34,8 @@
       return nullptr;
     }
     // Fibers that keep each other ready must not starve the sockets.
-    if (++this->pickCount % kPicksPerPoll == 0) {
+    if (++this->picksSincePoll >= kPicksPerPoll && IsDispatcher()) {
+      this->picksSincePoll = 0;
       this->context.poll();
     }
     fibers::context* fiber = &this->ready.front();
@@ -64,12 +66,22 @@
   }
 
 private:
+  /// True on the dispatcher, which gets a turn after all fibers that are ready.
+  /// Only there may handlers run: another fiber calls pick_next() while it is
+  /// being suspended and may still hold the lock of what it waits for, which a
+  /// handler that wakes it would wait for in turn.
+  static bool IsDispatcher() noexcept
+  {
+    return fibers::context::active()->is_context(
+      fibers::type::dispatcher_context);
+  }
+
   static constexpr unsigned kPicksPerPoll = 64;
 
   asio::io_context& context;
   asio::executor_work_guard<asio::io_context::executor_type> work;
   fibers::scheduler::ready_queue_type ready;
-  unsigned pickCount = 0;
+  unsigned picksSincePoll = 0;
 };
 
 }
