--- a/include/baobab/node/config_agent.hpp
+++ b/include/baobab/node/config_agent.hpp
@@ -45,6 +45,9 @@
   /// over, even if that read failed.
   bool Ready() const { return this->firstReadDone && this->Generation() > 0; }
 
+  /// True if this daemon watches the store on behalf of its availability zone.
+  bool IsReader() const;
+
   std::uint64_t Generation() const
   {
     return this->publisher.CurrentConfiguration()->Generation();
@@ -57,7 +60,6 @@
   std::function<void(std::uint64_t)> onAdopted;
 
 private:
-  bool IsReader() const;
   void WatchStore();
   void HandleRead(const Result<std::optional<ConfigDelta>>& aRead);
   void LogStoreState(const Result<std::optional<ConfigDelta>>& aRead);
--- a/include/baobab/node/daemon_metrics.hpp
+++ b/include/baobab/node/daemon_metrics.hpp
@@ -16,6 +16,7 @@
 struct ControlStats
 {
   std::uint64_t generation = 0;
+  bool reader = false;
   std::uint64_t storeCalls = 0;
   std::int64_t controlBytes = 0;
   std::size_t suspects = 0;
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -399,6 +399,7 @@
                    this->calls.Stats());
     AddControlMetrics(page,
                       { this->config.Generation(),
+                        this->config.IsReader(),
                         this->config.StoreCalls() + this->gossip.StoreCalls() +
                           this->quarantineAgent.StoreCalls() +
                           this->status.StoreCalls(),
--- a/src/baobab/node/daemon_metrics.cpp
+++ b/src/baobab/node/daemon_metrics.cpp
@@ -54,6 +54,7 @@
   };
   const GossipCounts& counts = aStats.gossip;
   add("generation", aStats.generation);
+  add("config_reader", aStats.reader ? 1 : 0);
   add("members", aStats.members.Size());
   add("address_conflicts_total", aStats.members.AddressConflicts());
   add("gossip_sent_total", counts.sent);
