Readiness: a daemon is ready only while its workers make progress

Change: before it answers, the control thread asks each worker to run a handler and a fiber and waits for up to 500 ms; the answer is 503 if one does not. A worker that does not respond is asked once, not at each question. Log events workers_stalled and workers_resumed and the metric baobab_workers_respond show the state; the metrics page no longer waits for ever for such a worker. A worker out of file descriptors needs no check of its own: the readiness socket belongs to the same process and cannot accept either.

SIGHUP reloads the settings on a fiber like SIGTERM, no longer in a handler of the I/O context.

--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -44,6 +44,25 @@
   std::array{ LogField{ "in_flight", "calls that were aborted" } }
 };
 
+inline constexpr LogEvent kWorkersStalled{
+  "workers_stalled",
+  "daemon",
+  LogLevel::Error,
+  LogDropPolicy::DropLast,
+  "A thread that serves callers makes no progress; the daemon is not ready. If "
+  "the threads do not resume, restart the daemon.",
+  std::array<LogField, 0>{}
+};
+
+inline constexpr LogEvent kWorkersResumed{
+  "workers_resumed",
+  "daemon",
+  LogLevel::Info,
+  LogDropPolicy::DropLast,
+  "All threads that serve callers make progress again.",
+  std::array<LogField, 0>{}
+};
+
 inline constexpr LogEvent kSettingsApplied{
   "settings_applied",
   "daemon",
--- a/include/baobab/net/worker.hpp
+++ b/include/baobab/net/worker.hpp
@@ -2,12 +2,14 @@
 /// A thread with its own I/O context and fibers.
 #pragma once
 
+#include "baobab/core/time.hpp"
 #include "baobab/net/fiber_scheduler.hpp"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/fiber/fiber.hpp>
+#include <boost/fiber/future/future.hpp>
 #include <functional>
 #include <thread>
 
@@ -44,11 +46,21 @@
       });
   }
 
+  /// Waits until this worker has run a handler of its I/O context and a fiber,
+  /// which shows that it makes progress. Call it on fibers of one other worker
+  /// only.
+  /// @param aTime longest wait
+  /// @return false if the worker did not respond in time
+  bool RespondsWithin(Duration aTime);
+
   boost::asio::io_context& Context() { return this->context; }
 
 private:
   boost::asio::io_context context{ 1 };
   std::atomic<bool> stopping{ false };
+  /// Response to the last check; a worker that makes no progress is not asked
+  /// again.
+  boost::fibers::shared_future<void> response;
   std::thread thread;
 };
 
--- a/include/baobab/node/ingress_pool.hpp
+++ b/include/baobab/node/ingress_pool.hpp
@@ -33,6 +33,12 @@
   /// Returns the merged statistics of all workers.
   WorkerStats Stats();
 
+  /// Waits until all workers have shown that they make progress. The other
+  /// functions wait without limit for a worker that makes none.
+  /// @param aTime longest wait
+  /// @return false if a worker did not respond in time
+  bool RespondsWithin(Duration aTime);
+
   /// Number of requests that are being answered.
   std::size_t ActiveRequests();
 
--- a/src/baobab/net/log_events.cpp
+++ b/src/baobab/net/log_events.cpp
@@ -12,6 +12,8 @@
   visit(kStarted,
         kDraining,
         kStopped,
+        kWorkersStalled,
+        kWorkersResumed,
         kSettingsApplied,
         kSettingsRejected,
         kLogDropped,
@@ -82,12 +84,14 @@
                          aEvent.level,
                          aEvent.dropPolicy,
                          aEvent.help);
-    page += "| field | meaning |\n| --- | --- |\n";
+    if (!aEvent.fields.empty()) {
+      page += "| field | meaning |\n| --- | --- |\n";
+    }
     for (const LogField& field : aEvent.fields) {
       page += "| `" + std::string(field.name) + "` | " +
               std::string(field.help) + " |\n";
     }
-    page += "\n";
+    page += aEvent.fields.empty() ? "" : "\n";
   });
   return page;
 }
--- a/src/baobab/net/worker.cpp
+++ b/src/baobab/net/worker.cpp
@@ -1,5 +1,6 @@
 #include "baobab/net/worker.hpp"
 
+#include <boost/fiber/future/promise.hpp>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
 
@@ -41,4 +42,21 @@
   this->stopping = true;
 }
 
+bool
+Worker::RespondsWithin(Duration aTime)
+{
+  const auto hasResponded = [](const auto& aResponse, Duration aWait) {
+    return aResponse.wait_for(aWait) == boost::fibers::future_status::ready;
+  };
+  if (!this->response.valid() ||
+      hasResponded(this->response, Duration::zero())) {
+    boost::fibers::promise<void> promise;
+    this->response = promise.get_future().share();
+    this->Post(
+      [promise = std::move(promise)]() mutable { promise.set_value(); });
+  }
+  const auto current = this->response;
+  return hasResponded(current, aTime);
+}
+
 }
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -41,6 +41,10 @@
 
 constexpr std::size_t kMaxAdminConnections = 256;
 
+/// Time in which the workers must show progress for the daemon to be ready.
+/// Shorter than the time for which a load balancer waits for the answer.
+constexpr Duration kWorkerResponseTime = 500ms;
+
 /// Returns the first incarnation of this run, higher than those of earlier
 /// runs: the wall-clock time in milliseconds, shifted to leave room for 1024
 /// changes per millisecond.
@@ -329,7 +333,7 @@
   {
     aSignals.async_wait([this, &aSignals](auto aError, int) {
       if (!aError) {
-        this->reloader.Reload(true);
+        Spawn([this] { this->reloader.Reload(true); });
         this->WatchReloadSignal(aSignals);
       }
     });
@@ -374,7 +378,22 @@
       [&](const RouteTable& aTable) { return aTable.FindService(aService); });
   }
 
-  bool Ready() const { return this->config.Ready() && !this->draining; }
+  /// True if calls can be served. Suspends the fiber until the workers have
+  /// responded.
+  bool Ready()
+  {
+    return this->config.Ready() && !this->draining && this->WorkersRespond();
+  }
+
+  bool WorkersRespond()
+  {
+    const bool respond = this->ingress.RespondsWithin(kWorkerResponseTime);
+    if (respond == this->workersStalled) {
+      this->workersStalled = !respond;
+      Log(respond ? kWorkersResumed : kWorkersStalled);
+    }
+    return respond;
+  }
 
   CountsByService Counts()
   {
@@ -390,10 +409,14 @@
 
   std::string Metrics()
   {
-    const WorkerStats stats = this->ingress.Stats();
     MetricsPage page;
-    for (const auto& [service, values] : stats) {
-      page.AddService(service, values);
+    const bool workersRespond = this->WorkersRespond();
+    page.Add("workers_respond", "", workersRespond ? 1 : 0);
+    if (workersRespond) {
+      for (const auto& [service, values] : this->ingress.Stats()) {
+        page.AddService(service, values);
+      }
+      this->callerConnections = this->ingress.AcceptedConnections();
     }
     page.AddTarget(this->calls.AdmissionControl().Service(),
                    this->calls.Stats());
@@ -408,7 +431,7 @@
                         this->gossip.Counts(),
                         this->calls.AdmissionControl().Report(),
                         this->membership,
-                        this->ingress.AcceptedConnections(),
+                        this->callerConnections,
                         this->timerDelays });
     this->routes.Read(
       [&](const RouteTable& aTable) { AddRouteMetrics(page, aTable); });
@@ -475,6 +498,9 @@
   SettingsReloader reloader;
   LatencyHistogram timerDelays;
   bool draining = false;
+  bool workersStalled = false;
+  /// Connections accepted from callers, as the workers last said.
+  std::uint64_t callerConnections = 0;
 };
 
 }
--- a/src/baobab/node/ingress_pool.cpp
+++ b/src/baobab/node/ingress_pool.cpp
@@ -1,10 +1,12 @@
 #include "baobab/node/ingress_pool.hpp"
 
 #include "baobab/core/random.hpp"
+#include "baobab/net/clock.hpp"
 #include "baobab/net/worker.hpp"
 #include "baobab/node/ingress.hpp"
 #include "baobab/node/metrics.hpp"
 
+#include <algorithm>
 #include <boost/fiber/future.hpp>
 #include <optional>
 
@@ -131,6 +133,16 @@
   return stats;
 }
 
+bool
+IngressPool::RespondsWithin(Duration aTime)
+{
+  const TimePoint end = Now() + aTime;
+  return std::ranges::all_of(this->workers, [&](const auto& aWorker) {
+    return aWorker->thread.RespondsWithin(
+      std::max(end - Now(), Duration::zero()));
+  });
+}
+
 std::size_t
 IngressPool::ActiveRequests()
 {
