Configuration: every daemon asks the store when its knowledge is old

Cause: readers are picked among the members that are alive, not among those that can read. The others read the store only after 10 s without gossip, and a cut reader goes on to gossip; so hearing from a peer was taken for knowing what is published.

Fix: gossip carries when the store last confirmed the generation in force, and the position in its history. A daemon whose confirmation is older than 1 s asks for later changes from that position, on a connection of its own, at a random time. The rate is shared: four questions a second for the whole fleet at most, whatever its size and also while the store answers nobody. The fallback after 10 s of silence and the audit every five minutes are contained in this and removed. A store state older than one seen before is an error and confirms nothing.

Ruled out: peers not passing the change on; once one daemon has it, all do within the time of a push.

--- a/include/baobab/decision/gossip_message.hpp
+++ b/include/baobab/decision/gossip_message.hpp
@@ -3,6 +3,7 @@
 
 #include "baobab/decision/member.hpp"
 #include "baobab/decision/region_contacts.hpp"
+#include "baobab/decision/store_freshness.hpp"
 #include "baobab/decision/suspicion.hpp"
 
 #include <cstdint>
@@ -28,6 +29,8 @@
   std::uint32_t nonce = 0;
   /// Generation of the configuration in force at the sender.
   std::uint64_t generation = 0;
+  /// What the store last confirmed of that generation, if it did.
+  std::optional<ConfirmationAge> confirmation;
   /// Hash of the sender's table. Equal tables have equal digests.
   std::uint64_t digest = 0;
   MemberRecord sender;
--- a/include/baobab/net/config_source.hpp
+++ b/include/baobab/net/config_source.hpp
@@ -7,12 +7,16 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace baobab {
 
 /// Source of published configurations. Used by one fiber at a time. Read and
-/// Watch fail with StoreUnavailable, with BadMessage if the published manifest
-/// is invalid, and with NotFound if a service file that it names is missing.
+/// Watch fail with StoreUnavailable, also if the store shows an older state
+/// than before; with BadMessage if the published manifest is invalid; and with
+/// NotFound if a service file that it names, or the history since the position,
+/// is missing.
 class ConfigSource
 {
 public:
@@ -31,6 +35,14 @@
     const Configuration& aCurrent,
     Duration aTime) = 0;
 
+  /// Position in the store's history up to which the last successful call has
+  /// seen changes; empty before it.
+  virtual std::string Position() const = 0;
+
+  /// Continues from a position that a source of the same store returned, so
+  /// that Watch asks only for later changes. An invalid one is ignored.
+  virtual void Resume(std::string_view aPosition) = 0;
+
   /// Number of requests sent to the store so far.
   virtual std::uint64_t Calls() const = 0;
 };
--- a/include/baobab/net/manifest_source.hpp
+++ b/include/baobab/net/manifest_source.hpp
@@ -17,6 +17,11 @@
     const Configuration& aCurrent) override;
   Result<std::optional<ConfigDelta>> Watch(const Configuration& aCurrent,
                                            Duration aTime) override;
+  std::string Position() const override { return this->manifestVersion; }
+  void Resume(std::string_view aPosition) override
+  {
+    this->manifestVersion = aPosition;
+  }
   std::uint64_t Calls() const override { return this->store.Calls(); }
 
 private:
--- a/include/baobab/node/config_agent.hpp
+++ b/include/baobab/node/config_agent.hpp
@@ -4,6 +4,7 @@
 #include "baobab/core/settings.hpp"
 #include "baobab/decision/membership.hpp"
 #include "baobab/decision/pull_plan.hpp"
+#include "baobab/decision/store_freshness.hpp"
 #include "baobab/net/config_source.hpp"
 #include "baobab/net/frame_connection.hpp"
 #include "baobab/node/control_pacer.hpp"
@@ -15,22 +16,32 @@
 
 namespace baobab {
 
+/// Opens a source with a connection of its own.
+using ConfigSourceFactory = std::function<std::unique_ptr<ConfigSource>()>;
+
 /// Keeps the configuration at the newest generation: a few daemons of each
-/// availability zone watch the store, the others pull from peers. Used only on
-/// the control thread.
+/// availability zone watch the store, the others pull from peers. Since the
+/// watching ones may have lost the store, every daemon asks it now and then.
+/// Used only on the control thread.
 class ConfigAgent
 {
 public:
   ConfigAgent(boost::asio::io_context& aContext,
-              std::unique_ptr<ConfigSource> aSource,
+              ConfigSourceFactory aOpenSource,
               Membership& aMembership,
+              StoreFreshness& aFreshness,
               RoutePublisher& aPublisher,
               ControlPacer& aPacer,
               const Settings& aSettings);
 
-  /// Runs until the process ends.
+  /// Reads the store, and watches it while this daemon is a reader, until the
+  /// process ends.
   void Run();
 
+  /// Asks the store for later changes whenever StoreFreshness says so, until
+  /// the process ends.
+  void RunAudits();
+
   /// Reads the published configuration and adopts it if it is newer.
   void ReadStore();
 
@@ -54,29 +65,39 @@
   }
 
   /// Calls to the store since the start.
-  std::uint64_t StoreCalls() const { return this->source->Calls(); }
+  std::uint64_t StoreCalls() const
+  {
+    return this->source->Calls() + this->auditCalls;
+  }
 
   /// Called with the new generation once it is in force.
   std::function<void(std::uint64_t)> onAdopted;
 
 private:
   void WatchStore();
-  void HandleRead(const Result<std::optional<ConfigDelta>>& aRead);
+  void Audit();
+  /// Adopts what was read from a source and records that the store confirmed
+  /// it.
+  /// @param aAskedAt time at which the store is known not to have answered yet
+  void HandleRead(const Result<std::optional<ConfigDelta>>& aRead,
+                  const ConfigSource& aSource,
+                  TimePoint aAskedAt);
   void LogStoreState(const Result<std::optional<ConfigDelta>>& aRead);
   void Pull(const Endpoint& aPeer);
   Result<ConfigDelta> Request(const Endpoint& aPeer, std::uint64_t aSince);
   Result<Done> Adopt(const ConfigDelta& aDelta, std::string_view aSource);
 
   boost::asio::io_context& context;
+  ConfigSourceFactory openSource;
   Membership& membership;
+  StoreFreshness& freshness;
   RoutePublisher& publisher;
   ControlPacer& pacer;
   const Settings& settings;
   std::unique_ptr<ConfigSource> source;
   PullPlan pulls;
   bool firstReadDone = false;
-  /// Time of the last generation advertised by a peer.
-  TimePoint lastPeerGenerationAt;
+  std::uint64_t auditCalls = 0;
   /// Set while the store does not answer.
   std::optional<TimePoint> storeLostAt;
   SplitMix random;
--- a/include/baobab/node/daemon_metrics.hpp
+++ b/include/baobab/node/daemon_metrics.hpp
@@ -3,12 +3,14 @@
 
 #include "baobab/core/load_report.hpp"
 #include "baobab/decision/membership.hpp"
+#include "baobab/decision/store_freshness.hpp"
 #include "baobab/node/gossip_agent.hpp"
 #include "baobab/node/metrics.hpp"
 #include "baobab/node/route_table.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace baobab {
 
@@ -17,6 +19,7 @@
 {
   std::uint64_t generation = 0;
   bool reader = false;
+  std::optional<ConfirmationAge> confirmation;
   std::uint64_t storeCalls = 0;
   std::int64_t controlBytes = 0;
   std::size_t suspects = 0;
--- a/include/baobab/node/gossip_agent.hpp
+++ b/include/baobab/node/gossip_agent.hpp
@@ -4,6 +4,7 @@
 #include "baobab/core/settings.hpp"
 #include "baobab/decision/membership.hpp"
 #include "baobab/decision/quarantine.hpp"
+#include "baobab/decision/store_freshness.hpp"
 #include "baobab/net/frame_connection.hpp"
 #include "baobab/net/log_events.hpp"
 #include "baobab/net/store.hpp"
@@ -40,6 +41,7 @@
               std::unique_ptr<Store> aStore,
               Membership& aMembership,
               Quarantine& aQuarantine,
+              StoreFreshness& aFreshness,
               ControlPacer& aPacer,
               const Settings& aSettings);
 
@@ -87,6 +89,7 @@
   boost::asio::io_context& context;
   Membership& membership;
   Quarantine& quarantine;
+  StoreFreshness& freshness;
   ControlPacer& pacer;
   const Settings& settings;
   Udp::socket socket;
--- a/src/baobab/net/manifest_source.cpp
+++ b/src/baobab/net/manifest_source.cpp
@@ -7,6 +7,16 @@
 
 constexpr Duration kStoreTimeout = 3s;
 
+Error
+OldStateError()
+{
+  return { ErrorKind::StoreUnavailable,
+           "the object store shows an older configuration than the one in "
+           "force",
+           "check whether it was restored from a backup or answers from a "
+           "stale replica" };
+}
+
 }
 
 ManifestSource::ManifestSource(boost::asio::io_context& aContext,
@@ -49,7 +59,10 @@
   if (!Succeeded(manifest)) {
     return Failure(manifest);
   }
-  if (Value(manifest).generation <= aCurrent.Generation()) {
+  if (Value(manifest).generation < aCurrent.Generation()) {
+    return OldStateError();
+  }
+  if (Value(manifest).generation == aCurrent.Generation()) {
     this->manifestVersion = aManifest.version;
     return std::nullopt;
   }
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -19,13 +19,10 @@
 constexpr Duration kRetryInterval = 500ms;
 constexpr Duration kRoleCheckPeriod = 500ms;
 
-/// Time without a generation from any peer after which a daemon that is not a
-/// reader starts to read the store itself.
-constexpr Duration kPeerSilence = 10s;
+constexpr Duration kAuditCheckPeriod = 100ms;
 
-/// Mean time between store reads of a daemon that is not a reader and has
-/// contact with peers.
-constexpr Duration kMeanAuditInterval = 300s;
+/// Wait of an audit, which wants to know only what has changed already.
+constexpr Duration kAuditWait = 1ms;
 
 /// Time limit for a peer's answer. Other peers may be asked meanwhile.
 constexpr Duration kPullTimeout = 2s;
@@ -37,17 +34,20 @@
 }
 
 ConfigAgent::ConfigAgent(boost::asio::io_context& aContext,
-                         std::unique_ptr<ConfigSource> aSource,
+                         ConfigSourceFactory aOpenSource,
                          Membership& aMembership,
+                         StoreFreshness& aFreshness,
                          RoutePublisher& aPublisher,
                          ControlPacer& aPacer,
                          const Settings& aSettings)
   : context(aContext)
+  , openSource(std::move(aOpenSource))
   , membership(aMembership)
+  , freshness(aFreshness)
   , publisher(aPublisher)
   , pacer(aPacer)
   , settings(aSettings)
-  , source(std::move(aSource))
+  , source(this->openSource())
   , random(EntropySeed())
 {
 }
@@ -57,32 +57,50 @@
 {
   this->ReadStore();
   this->firstReadDone = true;
-  const auto jitter = [&] {
-    return std::chrono::duration_cast<Duration>(
-      kMeanAuditInterval * (0.5 + UniformFraction(this->random)));
-  };
-  TimePoint nextAudit = Now() + jitter();
   while (true) {
     if (this->IsReader()) {
       this->WatchStore();
-      continue;
+    } else {
+      boost::this_fiber::sleep_for(kRoleCheckPeriod);
     }
-    const bool silent = Now() - this->lastPeerGenerationAt > kPeerSilence;
-    // Random, so that daemons without contact do not all read the store at
-    // once.
-    const bool fallbackRead = silent && UniformFraction(this->random) < 0.1;
-    if (fallbackRead || Now() > nextAudit) {
-      this->ReadStore();
-      nextAudit = Now() + jitter();
+  }
+}
+
+void
+ConfigAgent::RunAudits()
+{
+  while (true) {
+    boost::this_fiber::sleep_for(kAuditCheckPeriod);
+    if (this->firstReadDone &&
+        this->freshness.ShouldAsk(
+          this->Generation(), this->membership.Size(), Now())) {
+      this->Audit();
     }
-    boost::this_fiber::sleep_for(kRoleCheckPeriod);
   }
 }
 
+/// Asks the store for changes since the last position known, on a connection of
+/// its own, as an open one may have gone silent.
+void
+ConfigAgent::Audit()
+{
+  const TimePoint askedAt = Now();
+  const auto current = this->publisher.CurrentConfiguration();
+  const auto audit = this->openSource();
+  if (const auto known = this->freshness.Current(this->Generation(), askedAt)) {
+    audit->Resume(known->position);
+  }
+  auto changed = audit->Watch(*current, kAuditWait);
+  if (!Succeeded(changed) && Failure(changed).kind == ErrorKind::NotFound) {
+    changed = audit->Read(*current);
+  }
+  this->auditCalls += audit->Calls();
+  this->HandleRead(changed, *audit, askedAt);
+}
+
 void
 ConfigAgent::OnPeerGeneration(const Endpoint& aPeer, std::uint64_t aGeneration)
 {
-  this->lastPeerGenerationAt = Now();
   if (this->pulls.TryStartPull(aGeneration, this->Generation(), Now())) {
     Spawn([this, aPeer] {
       this->Pull(aPeer);
@@ -132,7 +150,8 @@
   // Kept alive here: a configuration pulled from a peer may replace the one in
   // force during the read.
   const auto current = this->publisher.CurrentConfiguration();
-  this->HandleRead(this->source->Read(*current));
+  const TimePoint askedAt = Now();
+  this->HandleRead(this->source->Read(*current), *this->source, askedAt);
 }
 
 void
@@ -141,9 +160,13 @@
   const TimePoint began = Now();
   const auto current = this->publisher.CurrentConfiguration();
   const auto changed = this->source->Watch(*current, kWatchTimeout);
-  this->HandleRead(changed);
-  // A watch that returns immediately must not cause a busy loop.
   const bool updated = Succeeded(changed) && Value(changed);
+  // A watch that ends without a change has been answered after its wait.
+  const bool waited =
+    Succeeded(changed) && !updated && Now() - began >= kWatchTimeout;
+  this->HandleRead(
+    changed, *this->source, waited ? began + kWatchTimeout : began);
+  // A watch that returns immediately must not cause a busy loop.
   if (!updated && Now() - began < kRetryInterval) {
     const double jitter = 0.5 + UniformFraction(this->random);
     boost::this_fiber::sleep_for(
@@ -152,12 +175,20 @@
 }
 
 void
-ConfigAgent::HandleRead(const Result<std::optional<ConfigDelta>>& aRead)
+ConfigAgent::HandleRead(const Result<std::optional<ConfigDelta>>& aRead,
+                        const ConfigSource& aSource,
+                        TimePoint aAskedAt)
 {
   this->LogStoreState(aRead);
-  if (Succeeded(aRead) && Value(aRead)) {
+  if (!Succeeded(aRead)) {
+    return;
+  }
+  if (Value(aRead)) {
     this->Adopt(*Value(aRead), "store");
   }
+  // Also after a configuration that was rejected: asking again would not change
+  // it.
+  this->freshness.Confirm({ this->Generation(), aAskedAt, aSource.Position() });
 }
 
 /// Logs when the store stops answering and when it answers again.
--- a/src/baobab/node/config_agent_test.cpp
+++ b/src/baobab/node/config_agent_test.cpp
@@ -46,6 +46,8 @@
     return this->Read(aCurrent);
   }
 
+  std::string Position() const override { return ""; }
+  void Resume(std::string_view /*aPosition*/) override {}
   std::uint64_t Calls() const override { return 0; }
 
   std::size_t servicesDuringRead = 99;
@@ -72,12 +74,22 @@
   const RcuThreadRegistration reader;
   RoutePublisher publisher(membership, quarantine, routes, settings);
   ControlPacer pacer(settings.control.bytesPerSecond);
-  auto source = std::make_unique<RacingSource>(publisher);
-  const RacingSource& racing = *source;
+  StoreFreshness freshness(1);
+  const RacingSource* racing = nullptr;
   ConfigAgent agent(
-    context, std::move(source), membership, publisher, pacer, settings);
+    context,
+    [&] {
+      auto source = std::make_unique<RacingSource>(publisher);
+      racing = source.get();
+      return source;
+    },
+    membership,
+    freshness,
+    publisher,
+    pacer,
+    settings);
   agent.ReadStore();
-  BOOST_TEST(racing.servicesDuringRead == 0U);
+  BOOST_TEST(racing->servicesDuringRead == 0U);
   BOOST_TEST(agent.Generation() == 5U);
 }
 
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -94,10 +94,14 @@
                 this->quarantine,
                 this->routes,
                 this->settings)
+    , freshness(EntropySeed())
     , config(
         this->control.Context(),
-        aPlatform.openConfig(this->control.Context(), this->settings.store),
+        [this, open = aPlatform.openConfig] {
+          return open(this->control.Context(), this->settings.store);
+        },
         this->membership,
+        this->freshness,
         this->publisher,
         this->pacer,
         this->settings)
@@ -105,6 +109,7 @@
              aPlatform.openStore(this->control.Context(), this->settings.store),
              this->membership,
              this->quarantine,
+             this->freshness,
              this->pacer,
              this->settings)
     , quarantineAgent(
@@ -226,6 +231,7 @@
     Spawn([this] { this->gossip.MaintainSeeds(); });
     Spawn([this] { this->gossip.RunExchanges(); });
     Spawn([this] { this->config.Run(); });
+    Spawn([this] { this->config.RunAudits(); });
     Spawn([this] { this->quarantineAgent.Run(); });
     Spawn([this] { this->status.RunReports(); });
     Spawn([this] { this->status.RunAggregation(); });
@@ -420,19 +426,20 @@
     }
     page.AddTarget(this->calls.AdmissionControl().Service(),
                    this->calls.Stats());
-    AddControlMetrics(page,
-                      { this->config.Generation(),
-                        this->config.IsReader(),
-                        this->config.StoreCalls() + this->gossip.StoreCalls() +
-                          this->quarantineAgent.StoreCalls() +
-                          this->status.StoreCalls(),
-                        this->pacer.Spent(),
-                        this->quarantine.Size(),
-                        this->gossip.Counts(),
-                        this->calls.AdmissionControl().Report(),
-                        this->membership,
-                        this->callerConnections,
-                        this->timerDelays });
+    AddControlMetrics(
+      page,
+      { this->config.Generation(),
+        this->config.IsReader(),
+        this->freshness.Current(this->config.Generation(), Now()),
+        this->config.StoreCalls() + this->gossip.StoreCalls() +
+          this->quarantineAgent.StoreCalls() + this->status.StoreCalls(),
+        this->pacer.Spent(),
+        this->quarantine.Size(),
+        this->gossip.Counts(),
+        this->calls.AdmissionControl().Report(),
+        this->membership,
+        this->callerConnections,
+        this->timerDelays });
     this->routes.Read(
       [&](const RouteTable& aTable) { AddRouteMetrics(page, aTable); });
     return page.Text();
@@ -476,6 +483,7 @@
   RcuCell<RouteTable> routes;
   ControlPacer pacer;
   RoutePublisher publisher;
+  StoreFreshness freshness;
   ConfigAgent config;
   GossipAgent gossip;
   QuarantineAgent quarantineAgent;
--- a/src/baobab/node/daemon_metrics.cpp
+++ b/src/baobab/node/daemon_metrics.cpp
@@ -55,6 +55,10 @@
   const GossipCounts& counts = aStats.gossip;
   add("generation", aStats.generation);
   add("config_reader", aStats.reader ? 1 : 0);
+  if (aStats.confirmation) {
+    add("config_confirmed_age_seconds",
+        std::chrono::duration<double>(aStats.confirmation->age).count());
+  }
   add("members", aStats.members.Size());
   add("address_conflicts_total", aStats.members.AddressConflicts());
   add("gossip_sent_total", counts.sent);
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -53,11 +53,13 @@
                          std::unique_ptr<Store> aStore,
                          Membership& aMembership,
                          Quarantine& aQuarantine,
+                         StoreFreshness& aFreshness,
                          ControlPacer& aPacer,
                          const Settings& aSettings)
   : context(aContext)
   , membership(aMembership)
   , quarantine(aQuarantine)
+  , freshness(aFreshness)
   , pacer(aPacer)
   , settings(aSettings)
   , socket(aContext)
@@ -108,6 +110,9 @@
     return;
   }
   const GossipMessage& gossip = Value(message);
+  if (gossip.confirmation) {
+    this->freshness.Merge(gossip.generation, *gossip.confirmation, Now());
+  }
   for (const Suspicion& suspicion : gossip.suspicions) {
     this->quarantine.Merge(suspicion, Now());
   }
@@ -135,6 +140,8 @@
 GossipAgent::Send(std::vector<GossipSend> aSends, bool aSuspicionsDiffer)
 {
   for (GossipSend& send : aSends) {
+    send.message.confirmation =
+      this->freshness.Current(send.message.generation, Now());
     send.message.suspicionDigest = this->quarantine.Digest();
     send.message.suspicions = this->quarantine.SelectForDatagram(
       kMaxSuspicionsPerDatagram, Now(), aSuspicionsDiffer);
--- a/src/baobab/wire/codec_test.cpp
+++ b/src/baobab/wire/codec_test.cpp
@@ -40,6 +40,7 @@
   message.kind = GossipKind::PingRequest;
   message.nonce = 5;
   message.generation = 9;
+  message.confirmation = ConfirmationAge{ 70ms, "1234" };
   message.digest = 77;
   message.suspicionDigest = 88;
   message.sender = {
@@ -69,6 +70,11 @@
   if (aKind != GossipKind::PingRequest) {
     message.subject.reset();
   }
+  if (aUpdates == 0) {
+    message.confirmation.reset();
+  } else {
+    message.confirmation->position = std::string(aTextLength, 'p');
+  }
   message.updates.assign(aUpdates, message.sender);
   message.contacts.clear();
   for (std::size_t i = 0; i < aContacts; ++i) {
@@ -86,6 +92,7 @@
 {
   return aLeft.kind == aRight.kind && aLeft.nonce == aRight.nonce &&
          aLeft.generation == aRight.generation &&
+         aLeft.confirmation == aRight.confirmation &&
          aLeft.digest == aRight.digest &&
          aLeft.suspicionDigest == aRight.suspicionDigest &&
          aLeft.sender == aRight.sender && aLeft.subject == aRight.subject &&
@@ -141,6 +148,7 @@
   BOOST_TEST((received.updates == sent.updates));
   BOOST_TEST((received.subject == sent.subject));
   BOOST_TEST((received.contacts == sent.contacts));
+  BOOST_TEST((received.confirmation == sent.confirmation));
   BOOST_REQUIRE(received.suspicions.size() == 1U);
   BOOST_TEST(received.suspicions[0].cleared);
   BOOST_TEST((received.suspicions[0].remaining == 3s));
--- a/src/baobab/wire/gossip_codec.cpp
+++ b/src/baobab/wire/gossip_codec.cpp
@@ -2,12 +2,17 @@
 
 #include "member_codec.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <limits>
 
 namespace baobab {
 namespace {
 
+/// Longest position in the store's history that is accepted from a peer.
+constexpr std::size_t kMaxPositionBytes = 128;
+
 Error
 BadMessageError(const char* aMessage)
 {
@@ -40,6 +45,16 @@
     contacts.push_back(wire::fb::CreateRegionAge(
       builder, region, static_cast<std::uint32_t>(contact.age.count())));
   }
+  flatbuffers::Offset<wire::fb::StoreConfirmation> confirmation;
+  if (aMessage.confirmation) {
+    const auto position = builder.CreateString(aMessage.confirmation->position);
+    confirmation = wire::fb::CreateStoreConfirmation(
+      builder,
+      static_cast<std::uint32_t>(
+        std::min<std::int64_t>(aMessage.confirmation->age.count(),
+                               std::numeric_limits<std::uint32_t>::max())),
+      position);
+  }
   const Endpoint subject = aMessage.subject.value_or(Endpoint{});
   const auto root =
     wire::fb::CreateGossip(builder,
@@ -54,7 +69,8 @@
                            builder.CreateVector(news),
                            builder.CreateVectorOfStructs(suspicions),
                            builder.CreateVector(contacts),
-                           aMessage.suspicionDigest);
+                           aMessage.suspicionDigest,
+                           confirmation);
   builder.Finish(root, wire::fb::GossipIdentifier());
   return { reinterpret_cast<const char*>(builder.GetBufferPointer()),
            builder.GetSize() };
@@ -117,6 +133,13 @@
                                      Millis(suspect->remaining_ms()) });
     }
   }
+  if (const auto* confirmation = gossip.confirmation()) {
+    if (confirmation->position()->size() > kMaxPositionBytes) {
+      return BadMessageError("the position in the store's history is too long");
+    }
+    message.confirmation = ConfirmationAge{ Millis(confirmation->age_ms()),
+                                            confirmation->position()->str() };
+  }
   if (gossip.contacts() != nullptr) {
     for (const wire::fb::RegionAge* contact : *gossip.contacts()) {
       message.contacts.push_back(
