Announcements: the target confirms what a restarted daemon cannot order

Cause: departures lived in the memory of the process that acknowledged them. A target found by its health path got start time 0, so that its departure was that of "started at 0" and any later announcement seemed to be of a later start. A departure of an instance not known yet was acknowledged and dropped.

Fix: start and sequence are optional, and every departure is recorded. An announcement that may have been sent before the daemon's start, or before a departure without a known start, is accepted only if the target's health path, asked after the departure, answers 200 with the same instance. Once timeouts.announcement_ms have passed, no delayed announcement is left. The same question settles a different instance with an earlier start, which was ignored for good when its clock had been set back.

--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -124,6 +124,16 @@
               LogField{ "sequence", "sequence number of the announcement" } }
 };
 
+inline constexpr LogEvent kAnnouncementUnproven{
+  "announcement_unproven",
+  "target",
+  LogLevel::Info,
+  LogDropPolicy::DropFirst,
+  "An announcement that may be older than the target's departure was ignored, "
+  "because the target did not confirm it on its health path.",
+  std::array{ LogField{ "instance", "instance named in the announcement" } }
+};
+
 inline constexpr LogEvent kAnnouncementForeign{
   "announcement_foreign",
   "target",
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -101,6 +101,10 @@
   std::function<void()> onSuspectsChanged;
 
 private:
+  void ProveAnnouncements();
+  void ApplyAnnouncement(const TargetAnnouncement& aAnnouncement,
+                         const std::optional<TargetProof>& aProof);
+
   /// A call in the queue.
   struct WaitingCall
   {
@@ -171,6 +175,9 @@
   RequestLimit requestLimit;
   bool shuttingDown = false;
   AnnouncementFilter announcements;
+  /// Last announcement that needs a proof, until the target is asked.
+  std::optional<TargetAnnouncement> unproven;
+  bool proving = false;
   TargetStats stats;
   SenderConnections senders;
   LoadReporter reporter{ this->senders };
--- a/include/baobab/node/target_client.hpp
+++ b/include/baobab/node/target_client.hpp
@@ -78,6 +78,12 @@
   /// ConnectFailed, ConnectionLost or TimedOut.
   Result<Response> GetHealth(std::string_view aPath, Duration aTimeout);
 
+  /// Sends a GET request to a health path at any address, on a new connection.
+  /// Fails like GetHealth.
+  Result<Response> GetHealthOf(const Endpoint& aAddress,
+                               std::string_view aPath,
+                               Duration aTimeout);
+
   /// Runs a call; suspends the fiber until its result is known. Only an
   /// idempotent call uses a pooled connection, which the target may close at
   /// any time.
--- a/include/baobab/node/target_probe.hpp
+++ b/include/baobab/node/target_probe.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "baobab/core/settings.hpp"
+#include "baobab/decision/announcement_filter.hpp"
 #include "baobab/node/target_client.hpp"
 
 #include <optional>
@@ -18,6 +19,13 @@
   LoadReport load;
 };
 
+/// Asks the process at an address whether it is healthy and which instance it
+/// is, on a connection of its own. Returns nothing if there is no answer.
+std::optional<TargetProof> AskTarget(TargetClient& aTarget,
+                                     const Endpoint& aAddress,
+                                     std::string_view aPath,
+                                     const Settings& aSettings);
+
 /// Requests the target's load. Returns nothing if there is no answer or it does
 /// not contain the load.
 std::optional<LoadReport> ProbeLoad(TargetClient& aTarget,
--- a/src/baobab/net/log_events.cpp
+++ b/src/baobab/net/log_events.cpp
@@ -20,6 +20,7 @@
         kTargetState,
         kTargetDeparted,
         kAnnouncementOutdated,
+        kAnnouncementUnproven,
         kAnnouncementForeign,
         kAnnouncementInvalid,
         kTargetCrashed,
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -19,6 +19,9 @@
 /// Largest expected size of an answer that is accepted from a sender.
 constexpr std::uint64_t kMaxAnswerBytes = 64U << 20U;
 
+/// Time between checks whether the service of an announcement is known.
+constexpr Duration kServicePeriod = 50ms;
+
 /// Time since its last call for which a sender takes part in turns.
 constexpr Duration kActiveSenderWindow = 5s;
 
@@ -41,9 +44,10 @@
   , quarantine(aQuarantine)
   , findService(std::move(aFindService))
   , settings(aSettings)
-  , crashDetector(aTarget, aQuarantine, [this] {
-    return this->SuspicionLifetime();
-  })
+  , crashDetector(aTarget,
+                  aQuarantine,
+                  [this] { return this->SuspicionLifetime(); })
+  , announcements(aSettings.timeouts.announcement, Now())
 {
   constexpr double kBytesPerMegabit = 1e6 / 8;
   this->admission.SetLinkRate(aSettings.linkMbps * kBytesPerMegabit);
@@ -228,12 +232,65 @@
 
 void
 CallServer::OnAnnouncement(const TargetAnnouncement& aAnnouncement)
+{
+  this->ApplyAnnouncement(aAnnouncement, std::nullopt);
+  if (this->unproven && !this->proving) {
+    this->proving = true;
+    Spawn([this] {
+      this->ProveAnnouncements();
+      this->proving = false;
+    });
+  }
+}
+
+/// Asks the target about announcements that may be older than its departure.
+void
+CallServer::ProveAnnouncements()
+{
+  while (this->unproven) {
+    const TimePoint end = Now() + this->settings.timeouts.announcement;
+    auto route = this->findService(this->unproven->announcement.service);
+    while (!route && Now() < end) {
+      boost::this_fiber::sleep_for(kServicePeriod);
+      route = this->findService(this->unproven->announcement.service);
+    }
+    const TargetAnnouncement announcement = *std::exchange(this->unproven, {});
+    if (!route) {
+      continue;
+    }
+    // Without a health path the target cannot be asked, and the announcement is
+    // taken as one that the target confirms.
+    const std::string& path = route->service->spec.healthPath;
+    const auto proof =
+      path.empty()
+        ? TargetProof{ "", true, Now() }
+        : AskTarget(this->target, announcement.address, path, this->settings)
+            .value_or(TargetProof{});
+    this->ApplyAnnouncement(announcement, proof);
+  }
+}
+
+void
+CallServer::ApplyAnnouncement(const TargetAnnouncement& aAnnouncement,
+                              const std::optional<TargetProof>& aProof)
 {
   const TargetState before = this->admission.State();
   const std::string instance = this->announcements.Current().instance;
-  if (!this->announcements.Accept(aAnnouncement)) {
-    Log(kAnnouncementOutdated, aAnnouncement.instance, aAnnouncement.sequence);
-    return;
+  switch (this->announcements.Accept(aAnnouncement, aProof, Now())) {
+    case AnnouncementVerdict::Accepted:
+      break;
+    case AnnouncementVerdict::Outdated:
+      Log(kAnnouncementOutdated,
+          aAnnouncement.instance,
+          aAnnouncement.sequence.value_or(0));
+      return;
+    case AnnouncementVerdict::Unproven:
+      if (aProof) {
+        Log(kAnnouncementUnproven, aAnnouncement.instance);
+      } else {
+        this->unproven = aAnnouncement;
+      }
+      return;
   }
   if (aAnnouncement.instance != instance) {
     this->admission.ForgetTarget();
@@ -253,7 +310,7 @@
 void
 CallServer::OnDeparture(std::string_view aInstance)
 {
-  if (!this->announcements.RecordDeparture(aInstance)) {
+  if (!this->announcements.RecordDeparture(aInstance, std::nullopt, Now())) {
     return;
   }
   Announcement departed = this->announcements.Current().announcement;
@@ -268,6 +325,7 @@
                      std::string_view aHealthPath)
 {
   this->target.SetTarget(aAddress, "");
+  const TimePoint askedAt = Now();
   const auto probed = ProbeTarget(this->target, aHealthPath, this->settings);
   if (!probed || this->admission.State() != TargetState::None) {
     return;
@@ -278,7 +336,8 @@
   found.announcement = { std::string(aService),
                          probed->load.slots,
                          TargetState::Ready };
-  this->OnAnnouncement(found);
+  this->ApplyAnnouncement(found,
+                          TargetProof{ probed->instance, true, askedAt });
 }
 
 void
--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -74,10 +74,35 @@
   }
 }
 
+namespace {
+
 Result<Response>
-TargetClient::GetHealth(std::string_view aPath, Duration aTimeout)
+ExchangeHealth(HttpClient& aClient, std::string_view aPath, Duration aTimeout)
 {
   constexpr std::size_t kMaxHealthBytes = 65536;
+  Request request;
+  request.method = "GET";
+  request.target = aPath;
+  return aClient.Exchange(request, { kMaxHealthBytes, aTimeout });
+}
+
+}
+
+Result<Response>
+TargetClient::GetHealthOf(const Endpoint& aAddress,
+                          std::string_view aPath,
+                          Duration aTimeout)
+{
+  auto opened = HttpClient::Open(this->context, aAddress, aTimeout);
+  if (!Succeeded(opened)) {
+    return Failure(opened);
+  }
+  return ExchangeHealth(*Value(opened), aPath, aTimeout);
+}
+
+Result<Response>
+TargetClient::GetHealth(std::string_view aPath, Duration aTimeout)
+{
   auto client = this->AcquireFromPool();
   if (!client) {
     auto opened = HttpClient::Open(this->context, this->endpoint, aTimeout);
@@ -86,10 +111,7 @@
     }
     client = std::move(Value(opened));
   }
-  Request request;
-  request.method = "GET";
-  request.target = aPath;
-  auto answer = client->Exchange(request, { kMaxHealthBytes, aTimeout });
+  auto answer = ExchangeHealth(*client, aPath, aTimeout);
   if (Succeeded(answer)) {
     this->ReturnToPool(std::move(client));
   }
--- a/src/baobab/node/target_probe.cpp
+++ b/src/baobab/node/target_probe.cpp
@@ -1,5 +1,6 @@
 #include "baobab/node/target_probe.hpp"
 
+#include "baobab/net/clock.hpp"
 #include "baobab/net/http_server.hpp"
 
 namespace baobab {
@@ -11,6 +12,32 @@
   return ParseLoad(FindHeader(aHealth.headers, aSettings.headers.load));
 }
 
+bool
+IsHealthy(const Response& aHealth, const Settings& aSettings)
+{
+  constexpr unsigned kOk = 200;
+  return aHealth.status == kOk &&
+         !ReadSignals(aHealth, aSettings.headers).leaving;
+}
+
+}
+
+std::optional<TargetProof>
+AskTarget(TargetClient& aTarget,
+          const Endpoint& aAddress,
+          std::string_view aPath,
+          const Settings& aSettings)
+{
+  const TimePoint askedAt = Now();
+  const auto health =
+    aTarget.GetHealthOf(aAddress, aPath, aSettings.timeouts.connect);
+  if (!Succeeded(health)) {
+    return std::nullopt;
+  }
+  return TargetProof{ std::string(FindHeader(Value(health).headers,
+                                             aSettings.headers.instance)),
+                      IsHealthy(Value(health), aSettings),
+                      askedAt };
 }
 
 std::optional<LoadReport>
@@ -27,10 +54,8 @@
             std::string_view aPath,
             const Settings& aSettings)
 {
-  constexpr unsigned kOk = 200;
   const auto health = aTarget.GetHealth(aPath, aSettings.timeouts.connect);
-  if (!Succeeded(health) || Value(health).status != kOk ||
-      ReadSignals(Value(health), aSettings.headers).leaving) {
+  if (!Succeeded(health) || !IsHealthy(Value(health), aSettings)) {
     return std::nullopt;
   }
   const auto load = LoadOf(Value(health), aSettings);
