Repeats on a new connection take retry budget

Cause: TargetClient sent an idempotent call again on a new connection when its pooled one had broken, without asking the retry budget; the repeats came on top of the retries of the ingress, which use the budget up by themselves.

Evidence: target_client_test, a_repeat_on_a_new_connection_needs_a_permit, fails with the repeat as it was (3 requests reach the target where 2 may) and passes with the change.

Fix: a request is sent only with a SendPermit, which cannot be copied and which RetryBudget::Spend() returns; first sends and calls that arrived have named ones. The functions that send (PeerLink::Run, AttemptRunner::Run, TargetClient::Run and Exchange, hedged and second attempts) take one, so that a send that asks nobody does not compile. The repeat spends the share of the daemon beside the target and counts against the limit that the target names. Without a permit the outcome is unknown, the ingress decides whether to retry elsewhere, and the connection that was opened meanwhile is kept for the next call.

The integration test of cut readers gets addresses of its own: another test had the same ones, and the two failed when they ran at once.

--- a/include/baobab/decision/retry_budget.hpp
+++ b/include/baobab/decision/retry_budget.hpp
@@ -1,8 +1,11 @@
 /// @file
 #pragma once
 
+#include "baobab/decision/send_permit.hpp"
+
 #include <atomic>
 #include <cstdint>
+#include <optional>
 
 namespace baobab {
 
@@ -38,8 +41,8 @@
   /// Counts a first attempt.
   void Earn();
 
-  /// Takes one retry. Returns false, and counts a denial, if none is left.
-  bool Spend();
+  /// Takes one retry. Returns nothing, and counts a denial, if none is left.
+  [[nodiscard]] std::optional<SendPermit> Spend();
 
   /// Returns how many retries were denied since the last call of this function.
   std::uint64_t TakeDenied() { return this->denied.exchange(0); }
--- a/include/baobab/decision/retry_state.hpp
+++ b/include/baobab/decision/retry_state.hpp
@@ -6,6 +6,7 @@
 #include "baobab/decision/retry_budget.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace baobab {
 
@@ -33,10 +34,14 @@
                           RetryBudget& aBudget,
                           TimePoint aNow);
 
+  /// Returns the permit of the attempt that is granted: the first one, or the
+  /// one after RetryDecision::Retry. Call it once for each.
+  SendPermit TakePermit();
+
   /// Asks to send the call to a second target while an attempt runs. Takes
   /// budget if granted. The outcomes of both are combined into that of the
   /// attempt.
-  bool GrantSecondSend(RetryBudget& aBudget);
+  std::optional<SendPermit> GrantSecondSend(RetryBudget& aBudget);
 
   /// Asks to offer the call again to targets that refused it as overloaded,
   /// after no other target is left. They may have refused in favour of another
@@ -49,7 +54,8 @@
   std::int64_t Attempts() const { return this->attempts; }
 
 private:
-  bool MayRetry(const Outcome& aOutcome, RetryBudget& aBudget) const;
+  std::optional<SendPermit> GrantRetry(const Outcome& aOutcome,
+                                       RetryBudget& aBudget) const;
 
   bool idempotent;
   std::int64_t maxAttempts;
@@ -58,6 +64,7 @@
   /// Attempts that may have reached a target.
   std::int64_t targetAttempts = 0;
   bool secondRoundGranted = false;
+  std::optional<SendPermit> permit = SendPermit::ForFirstSend();
   Outcome result;
 };
 
--- a/include/baobab/node/attempt_runner.hpp
+++ b/include/baobab/node/attempt_runner.hpp
@@ -32,10 +32,12 @@
                       const std::vector<Endpoint>& aTried);
 
   /// Runs one attempt; suspends the fiber until its outcome is known.
+  /// @param aPermit used up by the attempt
   /// @param aCancellation set while the attempt can be cancelled
   /// @param aSecond true if another attempt of the call is running
   Outcome Run(const IngressCall& aCall,
               const ChosenTarget& aChosen,
+              SendPermit aPermit,
               Cancellation& aCancellation,
               bool aSecond = false);
 
--- a/include/baobab/node/hedge.hpp
+++ b/include/baobab/node/hedge.hpp
@@ -16,6 +16,7 @@
 Outcome RunHedged(AttemptRunner& aRunner,
                   const IngressCall& aCall,
                   const ChosenTarget& aChosen,
-                  const std::vector<Endpoint>& aTried);
+                  const std::vector<Endpoint>& aTried,
+                  SendPermit aPermit);
 
 }
--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -4,6 +4,7 @@
 
 #include "baobab/core/settings.hpp"
 #include "baobab/decision/call_attempt.hpp"
+#include "baobab/decision/send_permit.hpp"
 #include "baobab/net/fiber_event.hpp"
 #include "baobab/net/frame_connection.hpp"
 
@@ -90,9 +91,11 @@
 
   /// Runs one attempt; suspends the fiber until its outcome is known or its
   /// deadline has passed.
+  /// @param aPermit used up by the attempt
   /// @param aCancellation set while the attempt can be cancelled
   AttemptResult Run(const Request& aRequest,
                     const CallTerms& aTerms,
+                    SendPermit aPermit,
                     Cancellation* aCancellation = nullptr);
 
   /// Cancels the attempts that have not started at their target. They end as
--- a/include/baobab/node/target_client.hpp
+++ b/include/baobab/node/target_client.hpp
@@ -6,11 +6,14 @@
 #include "baobab/core/load_report.hpp"
 #include "baobab/core/outcome.hpp"
 #include "baobab/core/settings.hpp"
+#include "baobab/decision/send_permit.hpp"
 #include "baobab/net/http_client.hpp"
 #include "baobab/node/target_signals.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace baobab {
@@ -59,6 +62,9 @@
   std::optional<TargetSignals> signals;
 };
 
+/// Returns a permit to send a call again; nothing if it must not be.
+using RepeatPermitter = std::function<std::optional<SendPermit>()>;
+
 /// Sends calls to the local target over pooled connections.
 class TargetClient
 {
@@ -86,8 +92,14 @@
 
   /// Runs a call; suspends the fiber until its result is known. Only an
   /// idempotent call uses a pooled connection, which the target may close at
-  /// any time.
-  TargetResult Run(const TargetCall& aCall, TargetCallControl& aControl);
+  /// any time. It is then sent once more, on a new connection, if that is
+  /// permitted.
+  /// @param aPermit used up by the first send
+  /// @param aRepeat asked for the permit to send again
+  TargetResult Run(const TargetCall& aCall,
+                   TargetCallControl& aControl,
+                   SendPermit aPermit,
+                   const RepeatPermitter& aRepeat);
 
   /// True if the target accepts connections.
   bool IsListening();
@@ -103,7 +115,8 @@
 
   TargetResult Exchange(const TargetCall& aCall,
                         std::unique_ptr<HttpClient> aClient,
-                        TargetCallControl& aControl);
+                        TargetCallControl& aControl,
+                        SendPermit aPermit);
   TargetResult ClassifyAnswer(const TargetCall& aCall, Response aAnswer) const;
   bool IsRefusal(const Response& aAnswer, const CallId& aId) const;
   void ReturnToPool(std::unique_ptr<HttpClient> aClient);
--- a/include/baobab/node/watched_attempts.hpp
+++ b/include/baobab/node/watched_attempts.hpp
@@ -23,7 +23,8 @@
 
   /// Runs one attempt, and a second one if it is needed; suspends the fiber
   /// until the outcome is known.
-  /// @param aRetryState decides whether a second attempt is allowed
+  /// @param aRetryState holds the permit of the attempt, and decides whether a
+  ///   second one is allowed
   Outcome Run(const IngressCall& aCall,
               const ChosenTarget& aChosen,
               RetryState& aRetryState);
@@ -39,7 +40,8 @@
   void ConsiderSecondAttempt(const std::shared_ptr<InFlightAttempt>& aAttempt,
                              double aSlowness);
   void SendSecondAttempt(const std::shared_ptr<InFlightAttempt>& aAttempt,
-                         const ChosenTarget& aChosen);
+                         const ChosenTarget& aChosen,
+                         SendPermit aPermit);
   static Outcome AwaitSecondAttempt(InFlightAttempt& aAttempt, Outcome aFirst);
 
   AttemptRunner& runner;
--- a/src/baobab/decision/retry_budget.cpp
+++ b/src/baobab/decision/retry_budget.cpp
@@ -47,18 +47,18 @@
   }
 }
 
-bool
+std::optional<SendPermit>
 RetryBudget::Spend()
 {
   std::int64_t available = this->tokens.load(std::memory_order_relaxed);
   while (available >= kToken) {
     if (this->tokens.compare_exchange_weak(
           available, available - kToken, std::memory_order_relaxed)) {
-      return true;
+      return SendPermit{};
     }
   }
   this->denied.fetch_add(1, std::memory_order_relaxed);
-  return false;
+  return std::nullopt;
 }
 
 }
--- a/src/baobab/decision/retry_state.cpp
+++ b/src/baobab/decision/retry_state.cpp
@@ -2,6 +2,9 @@
 
 #include "baobab/core/result.hpp"
 
+#include <cassert>
+#include <utility>
+
 namespace baobab {
 namespace {
 
@@ -82,23 +85,33 @@
 {
   ++this->attempts;
   this->targetAttempts += MayHaveArrived(aOutcome) ? 1 : 0;
-  const bool retry = this->targetAttempts < this->maxAttempts &&
-                     this->attempts < kMaxPlacements && aNow < this->deadline &&
-                     this->MayRetry(aOutcome, aBudget);
+  const bool allowed = this->targetAttempts < this->maxAttempts &&
+                       this->attempts < kMaxPlacements && aNow < this->deadline;
+  this->permit = allowed ? this->GrantRetry(aOutcome, aBudget) : std::nullopt;
   // A call that one attempt may have run must not end as "not run".
   const bool mayHaveRun = !std::holds_alternative<NotRun>(this->result);
   if (!mayHaveRun || std::holds_alternative<Answered>(aOutcome)) {
     this->result = std::move(aOutcome);
   }
-  return retry ? RetryDecision::Retry : RetryDecision::Finish;
+  return this->permit ? RetryDecision::Retry : RetryDecision::Finish;
 }
 
-bool
+SendPermit
+RetryState::TakePermit()
+{
+  assert(this->permit);
+  SendPermit taken = std::move(*this->permit);
+  this->permit.reset();
+  return taken;
+}
+
+std::optional<SendPermit>
 RetryState::GrantSecondSend(RetryBudget& aBudget)
 {
-  const bool granted = this->idempotent &&
-                       this->targetAttempts + 1 < this->maxAttempts &&
-                       aBudget.Spend();
+  if (!this->idempotent || this->targetAttempts + 1 >= this->maxAttempts) {
+    return std::nullopt;
+  }
+  auto granted = aBudget.Spend();
   this->targetAttempts += granted ? 1 : 0;
   return granted;
 }
@@ -113,34 +126,36 @@
   return granted;
 }
 
-bool
-RetryState::MayRetry(const Outcome& aOutcome, RetryBudget& aBudget) const
+std::optional<SendPermit>
+RetryState::GrantRetry(const Outcome& aOutcome, RetryBudget& aBudget) const
 {
-  return std::visit(Overloaded{
-                      [&](const Answered& aAnswer) {
-                        return this->idempotent &&
-                               IsServerFailure(aAnswer.response) &&
-                               aBudget.Spend();
-                      },
-                      [&](const NotRun& aRefusal) {
-                        if (aRefusal.retried) {
-                          return false;
-                        }
-                        switch (Classify(aRefusal.reason)) {
-                          case RefusalClass::NoLoad:
-                            return true;
-                          case RefusalClass::Load:
-                            return aBudget.Spend();
-                          case RefusalClass::Final:
-                            break;
-                        }
-                        return false;
-                      },
-                      [&](const OutcomeUnknown&) {
-                        return this->idempotent && aBudget.Spend();
-                      },
-                    },
-                    aOutcome);
+  using Permit = std::optional<SendPermit>;
+  return std::visit(
+    Overloaded{
+      [&](const Answered& aAnswer) -> Permit {
+        return this->idempotent && IsServerFailure(aAnswer.response)
+                 ? aBudget.Spend()
+                 : std::nullopt;
+      },
+      [&](const NotRun& aRefusal) -> Permit {
+        if (aRefusal.retried) {
+          return std::nullopt;
+        }
+        switch (Classify(aRefusal.reason)) {
+          case RefusalClass::NoLoad:
+            return SendPermit::ForFirstSend();
+          case RefusalClass::Load:
+            return aBudget.Spend();
+          case RefusalClass::Final:
+            break;
+        }
+        return std::nullopt;
+      },
+      [&](const OutcomeUnknown&) -> Permit {
+        return this->idempotent ? aBudget.Spend() : std::nullopt;
+      },
+    },
+    aOutcome);
 }
 
 }
--- a/src/baobab/decision/retry_state_test.cpp
+++ b/src/baobab/decision/retry_state_test.cpp
@@ -116,14 +116,14 @@
 {
   RetryBudget budget(0, 2);
   RetryState state(true, 3, kNow + 1s);
-  BOOST_TEST(state.GrantSecondSend(budget));
-  BOOST_TEST(state.GrantSecondSend(budget));
-  BOOST_TEST(!state.GrantSecondSend(budget));
+  BOOST_TEST(state.GrantSecondSend(budget).has_value());
+  BOOST_TEST(state.GrantSecondSend(budget).has_value());
+  BOOST_TEST(!state.GrantSecondSend(budget).has_value());
   BOOST_TEST(
     (state.OnOutcome(OutcomeUnknown{}, budget, kNow) == RetryDecision::Finish));
   RetryState notIdempotent(false, 3, kNow + 1s);
   RetryBudget unspent(0, 2);
-  BOOST_TEST(!notIdempotent.GrantSecondSend(unspent));
+  BOOST_TEST(!notIdempotent.GrantSecondSend(unspent).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(
--- a/src/baobab/node/attempt_runner.cpp
+++ b/src/baobab/node/attempt_runner.cpp
@@ -134,6 +134,7 @@
 Outcome
 AttemptRunner::Run(const IngressCall& aCall,
                    const ChosenTarget& aChosen,
+                   SendPermit aPermit,
                    Cancellation& aCancellation,
                    bool aSecond)
 {
@@ -149,7 +150,8 @@
   terms.answerBytes = aCall.route->state->AnswerBytes();
   terms.targetLimit = target.namedLimit.Get(record.startedAt - kLimitMemory);
   AttemptResult result =
-    this->links.Get(target.endpoint)->Run(aCall.request, terms, &aCancellation);
+    this->links.Get(target.endpoint)
+      ->Run(aCall.request, terms, std::move(aPermit), &aCancellation);
   target.load.EndAttempt();
   record.duration = Now() - record.startedAt;
   this->RecordResult(aCall, target, result, record.duration);
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -478,13 +478,20 @@
     this->quarantine.Evaluate(fingerprint, spec.quarantine.threshold, Now()) !=
       Verdict::Allow;
   const std::string instance = this->announcements.Current().instance;
-  TargetResult result =
-    this->target.Run({ aCall.id,
-                       aCall.request,
-                       aCall.idempotent,
-                       aDeadline,
-                       static_cast<std::size_t>(spec.limits.answerBytes) },
-                     state.control);
+  TargetResult result = this->target.Run(
+    { aCall.id,
+      aCall.request,
+      aCall.idempotent,
+      aDeadline,
+      static_cast<std::size_t>(spec.limits.answerBytes) },
+    state.control,
+    SendPermit::ForArrivedCall(),
+    [&]() -> std::optional<SendPermit> {
+      // A repeat is an arrival at the target like any other.
+      auto permit = route ? route->state->retryBudget.Spend() : std::nullopt;
+      return permit && this->requestLimit.TryStart(Now()) ? std::move(permit)
+                                                          : std::nullopt;
+    });
   const RunningCall ended = state;
   this->running.erase(aCall.id);
   if (result.connectionBroken && !ended.control.cancelled) {
--- a/src/baobab/node/endless_answer_test.cpp
+++ b/src/baobab/node/endless_answer_test.cpp
@@ -97,7 +97,9 @@
     const TimePoint startedAt = Now();
     const TargetResult result = aClient.Run(
       { { 1, 1 }, request, false, startedAt + kDeadline, kAnswerLimit },
-      control);
+      control,
+      SendPermit::ForFirstSend(),
+      [] { return std::nullopt; });
     BOOST_TEST(std::holds_alternative<OutcomeUnknown>(result.outcome));
     BOOST_TEST((Now() - startedAt < 2 * kDeadline));
   }
--- a/src/baobab/node/hedge.cpp
+++ b/src/baobab/node/hedge.cpp
@@ -60,30 +60,39 @@
 RunHedged(AttemptRunner& aRunner,
           const IngressCall& aCall,
           const ChosenTarget& aChosen,
-          const std::vector<Endpoint>& aTried)
+          const std::vector<Endpoint>& aTried,
+          SendPermit aPermit)
 {
   auto attempts = std::make_shared<HedgedAttempts>();
   auto call = std::make_shared<const IngressCall>(aCall);
-  const auto start = [&](const ChosenTarget& aTarget) {
+  const auto start = [&](const ChosenTarget& aTarget, SendPermit aGranted) {
     const bool second = !attempts->started.empty();
     Cancellation& cancellation = attempts->started.emplace_back();
-    Spawn([&aRunner, attempts, call, aTarget, second, &cancellation] {
+    Spawn([&aRunner,
+           attempts,
+           call,
+           aTarget,
+           second,
+           &cancellation,
+           granted = std::move(aGranted)]() mutable {
       attempts->outcomes.push_back(
-        aRunner.Run(*call, aTarget, cancellation, second));
+        aRunner.Run(*call, aTarget, std::move(granted), cancellation, second));
       attempts->changed.Notify();
     });
   };
-  start(aChosen);
+  start(aChosen, std::move(aPermit));
   aCall.caller->OnDisconnect([attempts] { CancelAll(*attempts); });
   const Duration mean = aCall.serviceRoute->state->TargetMeans().latency;
   const auto delay =
     std::chrono::duration_cast<Duration>(mean * kHedgeDelayFactor);
   const bool ended =
     attempts->changed.WaitUntil(std::min(aCall.terms.deadline, Now() + delay));
-  if (!ended && aCall.serviceRoute->state->retryBudget.Spend()) {
+  auto permit =
+    ended ? std::nullopt : aCall.serviceRoute->state->retryBudget.Spend();
+  if (permit) {
     const ChosenTarget second = aRunner.Choose(aCall, aTried);
     if (second.target) {
-      start(second);
+      start(second, std::move(*permit));
     }
   }
   while (attempts->outcomes.size() < attempts->started.size() &&
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -214,9 +214,10 @@
     aCall.stats->crossRegionAttempts +=
       chosen.tier == Tier::OtherRegion ? 1 : 0;
     tried.push_back(chosen.target->endpoint);
-    Outcome outcome = aCall.terms.idempotent && spec.hedge.enabled
-                        ? RunHedged(this->runner, aCall, chosen, tried)
-                        : this->watchedAttempts.Run(aCall, chosen, retryState);
+    Outcome outcome =
+      aCall.terms.idempotent && spec.hedge.enabled
+        ? RunHedged(this->runner, aCall, chosen, tried, retryState.TakePermit())
+        : this->watchedAttempts.Run(aCall, chosen, retryState);
     if (retryState.OnOutcome(std::move(outcome),
                              aCall.serviceRoute->state->retryBudget,
                              Now()) == RetryDecision::Finish ||
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -39,6 +39,7 @@
 AttemptResult
 PeerLink::Run(const Request& aRequest,
               const CallTerms& aTerms,
+              SendPermit /*aPermit*/,
               Cancellation* aCancellation)
 {
   const CallId id{ this->identity.sender, (*this->identity.nextSequence)++ };
--- a/src/baobab/node/peer_link_test.cpp
+++ b/src/baobab/node/peer_link_test.cpp
@@ -68,7 +68,7 @@
     CallTerms terms;
     terms.deadline = Now() + 10s;
     const Request request{ "quoting", "GET", "/", {}, "" };
-    outcome = link->Run(request, terms).outcome;
+    outcome = link->Run(request, terms, SendPermit::ForFirstSend()).outcome;
     Value(acceptor).close();
     server.join();
   });
--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -119,12 +119,17 @@
 }
 
 TargetResult
-TargetClient::Run(const TargetCall& aCall, TargetCallControl& aControl)
+TargetClient::Run(const TargetCall& aCall,
+                  TargetCallControl& aControl,
+                  SendPermit aPermit,
+                  const RepeatPermitter& aRepeat)
 {
+  std::optional<SendPermit> permit = std::move(aPermit);
   bool lostConnection = false;
   if (aCall.idempotent) {
     if (auto pooled = this->AcquireFromPool()) {
-      TargetResult result = this->Exchange(aCall, std::move(pooled), aControl);
+      TargetResult result =
+        this->Exchange(aCall, std::move(pooled), aControl, std::move(*permit));
       if (!result.connectionBroken || aControl.cancelled) {
         return result;
       }
@@ -148,8 +153,15 @@
     return { NotRun{ RefusalReason::NotReady,
                      "the target does not accept connections" } };
   }
-  TargetResult result =
-    this->Exchange(aCall, std::move(Value(opened)), aControl);
+  if (lostConnection) {
+    permit = aRepeat();
+    if (!permit) {
+      this->ReturnToPool(std::move(Value(opened)));
+      return { OutcomeUnknown{ UnknownCause::TargetFailed } };
+    }
+  }
+  TargetResult result = this->Exchange(
+    aCall, std::move(Value(opened)), aControl, std::move(*permit));
   if (lostConnection && std::holds_alternative<NotRun>(result.outcome)) {
     // The first exchange may have run.
     result.outcome = OutcomeUnknown{ UnknownCause::TargetFailed };
@@ -195,7 +207,8 @@
 TargetResult
 TargetClient::Exchange(const TargetCall& aCall,
                        std::unique_ptr<HttpClient> aClient,
-                       TargetCallControl& aControl)
+                       TargetCallControl& aControl,
+                       SendPermit /*aPermit*/)
 {
   const Duration left = aCall.deadline - Now();
   if (left <= Duration::zero()) {
--- a/src/baobab/node/target_client_test.cpp
+++ b/src/baobab/node/target_client_test.cpp
@@ -1,5 +1,6 @@
 #include "baobab/node/target_client.hpp"
 
+#include "baobab/decision/retry_budget.hpp"
 #include "baobab/net/accept.hpp"
 #include "baobab/net/clock.hpp"
 #include "testing/on_fiber.hpp"
@@ -86,13 +87,20 @@
 RunOne(TargetClient& aClient,
        const std::string& aId,
        bool aIdempotent = true,
-       const std::string& aBody = "")
+       const std::string& aBody = "",
+       bool aMayRepeat = true)
 {
   Request request{ "quoting", aBody.empty() ? "GET" : "POST", "/", {}, aBody };
   request.headers.push_back({ "Request-Id", aId });
   TargetCallControl control;
   return aClient.Run(
-    { { 1, 1 }, request, aIdempotent, Now() + 500ms, 1U << 20U }, control);
+    { { 1, 1 }, request, aIdempotent, Now() + 500ms, 1U << 20U },
+    control,
+    SendPermit::ForFirstSend(),
+    [&] {
+      RetryBudget budget(0, aMayRepeat ? 1 : 0);
+      return budget.Spend();
+    });
 }
 
 std::string
@@ -183,6 +191,25 @@
   });
 }
 
+// Requests that failed on a pooled connection were sent again beyond the retry
+// budget of their service.
+BOOST_AUTO_TEST_CASE(a_repeat_on_a_new_connection_needs_a_permit)
+{
+  for (const bool mayRepeat : { true, false }) {
+    ScriptedTarget target{ { Answer("r1", "one"), "" } };
+    target.Run([&](TargetClient& aClient) {
+      BOOST_TEST(BodyOf(RunOne(aClient, "r1")) == "one");
+      target.answers = { Answer("r2", "two") };
+      const TargetResult result = RunOne(aClient, "r2", true, "", mayRepeat);
+      BOOST_TEST(target.requests == (mayRepeat ? 3U : 2U));
+      BOOST_TEST(IsUnknown(result) != mayRepeat);
+      BOOST_TEST(!result.connectionBroken);
+      // The connection that was opened meanwhile serves the next request.
+      BOOST_TEST(BodyOf(RunOne(aClient, "r2")) == "two");
+    });
+  }
+}
+
 /// Guards against "not run" for a request that runs, because the target repeats
 /// the refusal of an earlier one, or of an earlier attempt of the same one.
 BOOST_AUTO_TEST_CASE(a_repeated_refusal_is_not_used_for_a_later_request)
--- a/src/baobab/node/watched_attempts.cpp
+++ b/src/baobab/node/watched_attempts.cpp
@@ -60,7 +60,8 @@
   const auto entry = aCall.terms.idempotent
                        ? this->inFlight.emplace(target, attempt)
                        : this->inFlight.end();
-  Outcome outcome = this->runner.Run(aCall, aChosen, attempt->first);
+  Outcome outcome =
+    this->runner.Run(aCall, aChosen, aRetryState.TakePermit(), attempt->first);
   if (entry != this->inFlight.end()) {
     this->inFlight.erase(entry);
   }
@@ -110,30 +111,34 @@
   slowed.timeToObjective = call.terms.objective - now;
   slowed.timeToDeadline = call.terms.deadline - now;
   slowed.alternative = other.expectedTime;
-  if (ShouldSendSecond(slowed) && aAttempt->retryState.GrantSecondSend(
-                                    call.serviceRoute->state->retryBudget)) {
+  if (!ShouldSendSecond(slowed)) {
+    return;
+  }
+  if (auto permit = aAttempt->retryState.GrantSecondSend(
+        call.serviceRoute->state->retryBudget)) {
     Log(kSecondSent,
         call.record->RequestId(),
         aAttempt->target,
         aSlowness,
         other.target->endpoint,
         other.expectedTime);
-    this->SendSecondAttempt(aAttempt, other);
+    this->SendSecondAttempt(aAttempt, other, std::move(*permit));
   }
 }
 
 void
 WatchedAttempts::SendSecondAttempt(
   const std::shared_ptr<InFlightAttempt>& aAttempt,
-  const ChosenTarget& aChosen)
+  const ChosenTarget& aChosen,
+  SendPermit aPermit)
 {
   aAttempt->secondRunning = true;
   // Copied, because the call may end while the second attempt is still being
   // cancelled.
   auto call = std::make_shared<IngressCall>(aAttempt->call);
-  Spawn([this, aAttempt, call, aChosen] {
-    aAttempt->secondOutcome =
-      this->runner.Run(*call, aChosen, aAttempt->second, true);
+  Spawn([this, aAttempt, call, aChosen, permit = std::move(aPermit)]() mutable {
+    aAttempt->secondOutcome = this->runner.Run(
+      *call, aChosen, std::move(permit), aAttempt->second, true);
     aAttempt->secondRunning = false;
     if (std::holds_alternative<Answered>(*aAttempt->secondOutcome) &&
         aAttempt->first.cancel) {
--- a/testing/integration/cut_reader_test.sh
+++ b/testing/integration/cut_reader_test.sh
@@ -2,7 +2,7 @@
 # The daemons that watch the store for their zone lose their path to it, silently
 # or with resets, while they still talk to all other daemons. A configuration
 # that is published meanwhile must reach every daemon.
-NET=127.20.47
+NET=127.20.60
 . "$(dirname "$0")/lib.sh"
 
 HOSTS="1 2 3 4 5 6"
