Tests: malformed answers that the HTTP client refuses today

It does not: status lines with a malformed version, status or reason, field names and values with control bytes, blanks before the colon (also in trailers), lengths that conflict and malformed chunks are refused by the parser. These tests keep that, beside those for valid answers that must not be refused: an empty reason, bytes over 0x7f, every token character, folded lines, chunk extensions, trailers and HTTP/1.0.

The server with prepared answers moves from target_client_test.cpp to testing/scripted_server.hpp, so that both tests use it.

--- /dev/null
+++ b/src/baobab/net/http_client_test.cpp
@@ -0,0 +1,188 @@
+#include "baobab/net/http_client.hpp"
+
+#include "baobab/net/clock.hpp"
+#include "testing/scripted_server.hpp"
+
+namespace baobab {
+namespace {
+
+constexpr Duration kTimeout = 5s;
+
+/// Sends one request to a server that answers with given bytes and closes.
+Result<Response>
+ExchangeWith(const std::string& aAnswer, const std::string& aMethod = "GET")
+{
+  std::optional<Result<Response>> response;
+  ScriptedServer({ aAnswer })
+    .Listening([&](boost::asio::io_context& aContext, const Endpoint& aServer) {
+      auto client = HttpClient::Open(aContext, aServer, kTimeout);
+      BOOST_TEST(Succeeded(client));
+      Request request;
+      request.method = aMethod;
+      request.target = "/";
+      response =
+        Value(client)->Exchange(request, { 1U << 20U, kTimeout, nullptr });
+      BOOST_TEST((Succeeded(*response) || !Value(client)->Reusable()));
+    });
+  return std::move(*response);
+}
+
+void
+CheckMalformed(const std::string& aAnswer)
+{
+  const auto response = ExchangeWith(aAnswer);
+  BOOST_TEST(!Succeeded(response), aAnswer);
+}
+
+void
+CheckBody(const std::string& aAnswer, const std::string& aBody)
+{
+  const auto response = ExchangeWith(aAnswer);
+  BOOST_TEST(Succeeded(response), aAnswer);
+  if (Succeeded(response)) {
+    BOOST_TEST(Value(response).body == aBody, aAnswer);
+  }
+}
+
+const std::string kHello = "Content-Length: 5\r\n\r\nhello";
+const std::string kOk = "HTTP/1.1 200 OK\r\n";
+const std::string kChunkedOk = kOk + "Transfer-Encoding: chunked\r\n\r\n";
+
+}
+
+BOOST_AUTO_TEST_SUITE(http_client)
+
+BOOST_AUTO_TEST_CASE(a_malformed_status_line_is_refused)
+{
+  for (const std::string line : {
+         "HTTP/1.1 20 OK",      "HTTP/1.1 2000 OK",  "HTTP/1.1 +20 OK",
+         "HTTP/1.1 -20 OK",     "HTTP/1.1 2x0 OK",   "HTTP/1.1 OK",
+         "HTTP/1.1  200 OK",    "HTTP/1.1\t200 OK",  "HTTP/1.1 200\tOK",
+         "HTTP/1.1 200OK",      "HTTP/1.1200 OK",    " HTTP/1.1 200 OK",
+         "http/1.1 200 OK",     "HTTP/1.2 200 OK",   "HTTP/2.0 200 OK",
+         "HTTP/0.9 200 OK",     "HTTP/11 200 OK",    "HTTP/1.1 200 O\x01K",
+         "HTTP/1.1 200 O\x7fK", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\nK",
+       }) {
+    CheckMalformed(line + "\r\n" + kHello);
+  }
+  CheckMalformed("HTTP/1.1 200 O" + std::string(1, '\0') + "K\r\n" + kHello);
+}
+
+BOOST_AUTO_TEST_CASE(a_malformed_field_line_is_refused)
+{
+  for (const std::string line : {
+         "X y: v",
+         "X\ty: v",
+         "X\x01y: v",
+         "X\x7fy: v",
+         "X\x80y: v",
+         "X\xffy: v",
+         "X : v",
+         "X\t: v",
+         ": v",
+         "no colon",
+         "X(y): v",
+         "X: a\x01z",
+         "X: a\x7fz",
+         "X: a\rz",
+         "X: a\nz",
+         "Content-Length : 5",
+         "Transfer-Encoding : chunked",
+       }) {
+    CheckMalformed(kOk + line + "\r\n" + kHello);
+    CheckMalformed(kOk + "A: b\r\n" + line + "\r\n" + kHello);
+    CheckMalformed(kChunkedOk + "5\r\nhello\r\n0\r\n" + line + "\r\n\r\n");
+  }
+  CheckMalformed(kOk + " X: v\r\n" + kHello);
+  CheckMalformed(kOk + "X" + std::string(1, '\0') + "y: v\r\n" + kHello);
+  CheckMalformed(kOk + "X: a" + std::string(1, '\0') + "z\r\n" + kHello);
+}
+
+BOOST_AUTO_TEST_CASE(conflicting_or_invalid_lengths_are_refused)
+{
+  for (const std::string fields : {
+         "Content-Length: 5\r\nContent-Length: 4",
+         "Content-Length: 5, 4",
+         "Content-Length: 5 4",
+         "Content-Length: 5,",
+         "Content-Length: +5",
+         "Content-Length: -5",
+         "Content-Length: 0x5",
+         "Content-Length: 5.0",
+         "Content-Length: five",
+         "Content-Length:",
+         "Content-Length: 99999999999999999999",
+         "Content-Length: 5\r\nTransfer-Encoding: chunked",
+         "Transfer-Encoding: chunked\r\nContent-Length: 5",
+       }) {
+    CheckMalformed(kOk + fields + "\r\n\r\nhello");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(malformed_chunks_are_refused)
+{
+  for (const std::string chunks : {
+         "\r\nhello\r\n0\r\n\r\n",
+         "x\r\nhello\r\n0\r\n\r\n",
+         "-5\r\nhello\r\n0\r\n\r\n",
+         "+5\r\nhello\r\n0\r\n\r\n",
+         " 5\r\nhello\r\n0\r\n\r\n",
+         "0x5\r\nhello\r\n0\r\n\r\n",
+         "5 5\r\nhello\r\n0\r\n\r\n",
+         "5\nhello\r\n0\r\n\r\n",
+         "4\r\nhello\r\n0\r\n\r\n",
+         "6\r\nhello\r\n0\r\n\r\n",
+         "5\r\nhello0\r\n\r\n",
+         "5\r\nhello\n0\r\n\r\n",
+         "10000000000000005\r\nhello\r\n0\r\n\r\n",
+         "5;\r\nhello\r\n0\r\n\r\n",
+         "5;a=\x01\r\nhello\r\n0\r\n\r\n",
+         "5\r\nhello\r\n0\r\nContent-Length: 5\r\n\r\n",
+       }) {
+    CheckMalformed(kChunkedOk + chunks);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(valid_answers_are_accepted)
+{
+  const std::string everyTokenCharacter =
+    "!#$%&'*+-.^_`|~09azAZ: all token characters\r\n";
+  for (const std::string& head : {
+         std::string("HTTP/1.1 200 \r\n"),
+         std::string("HTTP/1.1 200 Fine \x80\xff\ttoo\r\n"),
+         std::string("HTTP/1.1 599 Last\r\n"),
+         std::string("HTTP/1.0 200 OK\r\n"),
+         kOk + everyTokenCharacter,
+         kOk + "X: \x80\xff\ta b\r\n",
+         kOk + "X:\r\n",
+         kOk + "X:v\r\n",
+         kOk + "X: a\r\n folded\r\n",
+         kOk + "Content-Length: 5\r\n",
+         kOk + "Content-Length: 5, 5\r\nX: v\r\n",
+       }) {
+    CheckBody(head + kHello, "hello");
+  }
+  CheckBody(kOk + "\r\nuntil the end", "until the end");
+  for (const std::string chunks : {
+         "5\r\nhello\r\n0\r\n\r\n",
+         "005\r\nhello\r\n00\r\n\r\n",
+         "5;a\r\nhello\r\n0;b=c\r\n\r\n",
+         "5 ; a = \"b \t\x80\\\"\"\r\nhello\r\n0\r\n\r\n",
+         "2\r\nhe\r\n3\r\nllo\r\n0\r\nTrailer: v\r\n\r\n",
+       }) {
+    CheckBody(kChunkedOk + chunks, "hello");
+  }
+  CheckBody(kOk + "Transfer-Encoding: Chunked\r\n\r\n0\r\n\r\n", "");
+}
+
+/// The transfer coding of a response without a body is not applied.
+BOOST_AUTO_TEST_CASE(a_coding_without_a_body_is_accepted)
+{
+  BOOST_TEST(Succeeded(
+    ExchangeWith(kOk + "Transfer-Encoding: gzip, chunked\r\n\r\n", "HEAD")));
+  CheckBody("HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: gzip\r\n\r\n", "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- a/src/baobab/node/target_client_test.cpp
+++ b/src/baobab/node/target_client_test.cpp
@@ -1,83 +1,30 @@
 #include "baobab/node/target_client.hpp"
 
 #include "baobab/decision/retry_budget.hpp"
-#include "baobab/net/accept.hpp"
 #include "baobab/net/clock.hpp"
-#include "testing/on_fiber.hpp"
-
-#include <boost/asio/write.hpp>
-#include <boost/fiber/operations.hpp>
-#include <boost/test/unit_test.hpp>
+#include "testing/scripted_server.hpp"
 
 namespace baobab {
 namespace {
 
 /// A target that answers each request on a connection with given bytes.
-struct ScriptedTarget
+struct ScriptedTarget : ScriptedServer
 {
-  /// Bytes sent after the first, second, ... request of a connection. After the
-  /// last one the connection is closed.
-  std::vector<std::string> answers;
-  std::size_t requests = 0;
-  std::string received;
-  /// Request at which the target crashes, counted from 1.
-  std::optional<std::size_t> crashAt;
-  Tcp::acceptor* listener = nullptr;
-
-  void Serve(Tcp::socket aSocket)
-  {
-    for (const std::string& answer : std::vector(this->answers)) {
-      std::string request;
-      while (request.find("\r\n\r\n") == std::string::npos) {
-        char bytes[4096];
-        const IoResult read = Await([&](auto aDone) {
-          aSocket.async_read_some(boost::asio::buffer(bytes), aDone);
-        });
-        if (!read) {
-          return;
-        }
-        request.append(bytes, read.bytes);
-      }
-      ++this->requests;
-      this->received += request;
-      if (this->requests == this->crashAt) {
-        this->listener->close();
-        return;
-      }
-      Await([&](auto aDone) {
-        boost::asio::async_write(aSocket, boost::asio::buffer(answer), aDone);
-      });
-    }
-  }
+  using ScriptedServer::ScriptedServer;
 
   /// Calls a function with a client of this target.
   void Run(const std::function<void(TargetClient&)>& aBody)
   {
-    OnFiber([&](boost::asio::io_context& aContext) {
-      auto acceptor = Listen(aContext, { 0x7f000001, 0 });
-      BOOST_TEST(Succeeded(acceptor));
-      const auto port = Value(acceptor).local_endpoint().port();
-      this->listener = &Value(acceptor);
-      boost::fibers::fiber server([&] {
-        AcceptConnections(Value(acceptor), [&](Tcp::socket aSocket) {
-          Spawn([this, socket = std::move(aSocket)]() mutable {
-            this->Serve(std::move(socket));
-          });
-        });
-      });
-      this->settings.headers.requestId = "Request-Id";
-      this->settings.headers.stamp = "Stamp";
-      this->settings.headers.reserveNotRunStatuses = true;
-      this->settings.headers.notRunRequiresCallId = false;
-      {
+    this->settings.headers.requestId = "Request-Id";
+    this->settings.headers.stamp = "Stamp";
+    this->settings.headers.reserveNotRunStatuses = true;
+    this->settings.headers.notRunRequiresCallId = false;
+    this->Listening(
+      [&](boost::asio::io_context& aContext, const Endpoint& aAddress) {
         TargetClient client(aContext, this->settings);
-        client.SetTarget({ 0x7f000001, port }, "i-1");
+        client.SetTarget(aAddress, "i-1");
         aBody(client);
-      }
-      Value(acceptor).close();
-      server.join();
-      boost::this_fiber::sleep_for(20ms);
-    });
+      });
   }
 
   Settings settings;
