HTTP client: a response with an undefined status is malformed

Cause: the parser's grammar for a status is three digits, and a response counted as valid because the parser returned without an error. Nobody checked the status itself. The same cause elsewhere: a status 000 beside the "not run" header was reported as not run, although the request had reached the target; a health answer with it gave its load figure; a write to either store with such an answer counted as failed instead of unknown.

Change: HttpClient, the one place that reads HTTP responses, checks the head as soon as it is complete and fails with BadMessage, as it now does for what the parser refuses; the connection is closed. The target client maps that to an unknown outcome, like a target that broke off; blame and retries are unchanged. One line, target_answer_malformed, names the part and the request. baobab-load counts a malformed response as wrong; before, it counted only those that the parser accepted.

600 to 999 are refused as well.

--- a/include/baobab/core/http_message.hpp
+++ b/include/baobab/core/http_message.hpp
@@ -39,6 +39,16 @@
   bool operator==(const Response&) const = default;
 };
 
+/// Returns true for the statuses of the classes that HTTP defines, from 100 to
+/// 599.
+constexpr bool
+IsDefinedStatus(unsigned aStatus)
+{
+  constexpr unsigned kFirst = 100;
+  constexpr unsigned kLast = 599;
+  return aStatus >= kFirst && aStatus <= kLast;
+}
+
 /// Returns true for the statuses from 200 to 299.
 constexpr bool
 IsSuccess(unsigned aStatus)
--- a/include/baobab/load/call_result.hpp
+++ b/include/baobab/load/call_result.hpp
@@ -13,8 +13,8 @@
   Answered,
   NotRun,
   Unknown,
-  /// The response to another call, an incomplete one, or one with an unexpected
-  /// status.
+  /// The response to another call, an incomplete or malformed one, or one with
+  /// an unexpected status.
   Wrong,
 };
 
--- a/include/baobab/net/http_client.hpp
+++ b/include/baobab/net/http_client.hpp
@@ -36,7 +36,8 @@
   virtual ~HttpClient() = default;
 
   /// Sends a request and reads the whole response. Fails with ConnectionLost,
-  /// TimedOut or TooLarge; the connection is closed after a failure.
+  /// TimedOut, TooLarge, or BadMessage if the response is malformed; the
+  /// connection is closed after a failure.
   virtual Result<Response> Exchange(const Request& aRequest,
                                     const ExchangeOptions& aOptions) = 0;
 
--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -212,6 +212,18 @@
                         "whether the target accepted a new connection" } }
 };
 
+inline constexpr LogEvent kTargetAnswerMalformed{
+  "target_answer_malformed",
+  "target",
+  LogLevel::Warning,
+  LogDropPolicy::DropFirst,
+  "The target sent bytes that are no HTTP response. They are not passed on, "
+  "and "
+  "the outcome of the request is unknown.",
+  std::array{ LogField{ "request", "request ID from the caller's header" },
+              LogField{ "error", "which part is malformed" } }
+};
+
 inline constexpr LogEvent kMemberState{
   "member_state",
   "members",
--- a/include/baobab/node/target_client.hpp
+++ b/include/baobab/node/target_client.hpp
@@ -81,7 +81,7 @@
   void SetTarget(const Endpoint& aEndpoint, std::string_view aInstance);
 
   /// Sends a GET request to the target's health path. Fails with
-  /// ConnectFailed, ConnectionLost or TimedOut.
+  /// ConnectFailed, ConnectionLost, TimedOut or BadMessage.
   Result<Response> GetHealth(std::string_view aPath, Duration aTimeout);
 
   /// Sends a GET request to a health path at any address, on a new connection.
--- a/src/baobab/load/runner.cpp
+++ b/src/baobab/load/runner.cpp
@@ -175,7 +175,9 @@
                                    const Result<Response>& aResponse)
   {
     if (!Succeeded(aResponse)) {
-      return ReportedOutcome::Unknown;
+      return Failure(aResponse).kind == ErrorKind::BadMessage
+               ? ReportedOutcome::Wrong
+               : ReportedOutcome::Unknown;
     }
     const Response& response = Value(aResponse);
     const auto outcome = FindHeader(response.headers, "Baobab-Outcome");
--- a/src/baobab/net/http_client.cpp
+++ b/src/baobab/net/http_client.cpp
@@ -1,7 +1,7 @@
 #include "baobab/net/http_client.hpp"
 
 #include "baobab/net/clock.hpp"
-#include "http_convert.hpp"
+#include "response_check.hpp"
 
 #include <boost/beast/core.hpp>
 #include <charconv>
@@ -39,6 +39,17 @@
                                                     : Duration::max();
 }
 
+/// Returns true if the parser found a response malformed.
+bool
+IsMalformed(const beast::error_code& aError)
+{
+  return aError.category() ==
+           make_error_code(http::error::bad_status).category() &&
+         aError != http::error::end_of_stream &&
+         aError != http::error::partial_message &&
+         aError != http::error::body_limit;
+}
+
 class BeastClient : public HttpClient
 {
 public:
@@ -110,6 +121,7 @@
     parser.body_limit(aMaxBytes);
     parser.skip(aMethod == "HEAD");
     IoResult read;
+    bool headChecked = false;
     do {
       // The stream's own timeout only ends a read that has to wait for bytes.
       if (Now() >= this->deadline) {
@@ -119,6 +131,12 @@
         http::async_read_some(this->stream, this->buffer, parser, aHandler);
       });
       this->responseStarted = this->responseStarted || parser.got_some();
+      if (!headChecked && parser.is_header_done()) {
+        if (const auto part = FindMalformedPart(parser.get().base())) {
+          return this->FailMalformed(*part);
+        }
+        headChecked = true;
+      }
     } while (read && !parser.is_done());
     if (read.error && parser.is_done() == false) {
       return this->Fail(read.error);
@@ -146,11 +164,22 @@
                "the response exceeds its size limit",
                "raise 'limits.answer_bytes'" };
     }
+    if (IsMalformed(aError)) {
+      return this->FailMalformed(aError.message());
+    }
     return { ErrorKind::ConnectionLost,
              "the connection was lost: " + aError.message(),
              "" };
   }
 
+  Error FailMalformed(const std::string& aPart)
+  {
+    this->stream.close();
+    return { ErrorKind::BadMessage,
+             "the response is malformed: " + aPart,
+             "check the server that sent it" };
+  }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer{ kMaxBufferBytes };
   TimePoint deadline;
--- a/src/baobab/net/http_client_test.cpp
+++ b/src/baobab/net/http_client_test.cpp
@@ -32,6 +32,10 @@
 {
   const auto response = ExchangeWith(aAnswer);
   BOOST_TEST(!Succeeded(response), aAnswer);
+  if (!Succeeded(response)) {
+    BOOST_TEST((Failure(response).kind == ErrorKind::BadMessage),
+               aAnswer << Failure(response).message);
+  }
 }
 
 void
@@ -52,6 +56,16 @@
 
 BOOST_AUTO_TEST_SUITE(http_client)
 
+/// Callers were sent status 000 as an answer.
+BOOST_AUTO_TEST_CASE(a_status_that_http_does_not_define_is_malformed)
+{
+  for (const std::string status :
+       { "000", "001", "099", "600", "601", "999" }) {
+    CheckMalformed("HTTP/1.1 " + status + " Odd\r\n" + kHello);
+    CheckMalformed("HTTP/1.1 " + status + " \r\n\r\nuntil the end");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_malformed_status_line_is_refused)
 {
   for (const std::string line : {
--- a/src/baobab/net/log_events.cpp
+++ b/src/baobab/net/log_events.cpp
@@ -25,6 +25,7 @@
         kAnnouncementInvalid,
         kTargetCrashed,
         kTargetConnectionLost,
+        kTargetAnswerMalformed,
         kTargetLimit,
         kQuarantineRead,
         kQuarantineStored,
--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -230,6 +230,9 @@
   aControl.connection = nullptr;
   if (!Succeeded(response)) {
     const Error& error = Failure(response);
+    if (error.kind == ErrorKind::BadMessage) {
+      Log(kTargetAnswerMalformed, id, error);
+    }
     return { OutcomeUnknown{ UnknownCauseOf(error.kind) },
              error.kind == ErrorKind::ConnectionLost &&
                !aClient->ResponseStarted() };
--- a/src/baobab/node/target_client_test.cpp
+++ b/src/baobab/node/target_client_test.cpp
@@ -243,6 +243,46 @@
   });
 }
 
+/// Callers were sent status 000 as an answer, or told that a request had not
+/// run because of a header beside it.
+BOOST_AUTO_TEST_CASE(a_malformed_answer_is_not_passed_on)
+{
+  for (const std::string line :
+       { "HTTP/1.1 000 Odd", "HTTP/1.1 099 Odd", "HTTP/1.1 600 Odd" }) {
+    for (const std::string header : { "Stamp: s", "Baobab-Not-Run: 1" }) {
+      ScriptedTarget target{ { Answer("r1", "one"),
+                               line + "\r\nRequest-Id: r2\r\n" + header +
+                                 "\r\nContent-Length: 4\r\n\r\nodd!" } };
+      target.settings.headers.notRun = "Baobab-Not-Run";
+      target.Run([&](TargetClient& aClient) {
+        BOOST_TEST(BodyOf(RunOne(aClient, "r1")) == "one");
+        const TargetResult kept = RunOne(aClient, "r2");
+        BOOST_TEST(IsUnknown(kept));
+        BOOST_TEST(!kept.connectionBroken);
+        BOOST_TEST(target.requests == 2U);
+        target.answers = { target.answers.back() };
+        BOOST_TEST(IsUnknown(RunOne(aClient, "r2")));
+        BOOST_TEST(IsUnknown(RunOne(aClient, "r2", false)));
+        target.answers = { Answer("r2", "two") };
+        BOOST_TEST(BodyOf(RunOne(aClient, "r2")) == "two");
+        BOOST_TEST(target.requests == 5U);
+      });
+    }
+  }
+}
+
+/// A load figure or an instance in a malformed answer must not be used.
+BOOST_AUTO_TEST_CASE(a_malformed_health_answer_is_not_used)
+{
+  ScriptedTarget target{ { "HTTP/1.1 000 Odd\r\nBaobab-Load: 1,0,8\r\n"
+                           "Content-Length: 0\r\n\r\n" } };
+  target.Run([](TargetClient& aClient) {
+    const auto health = aClient.GetHealth("/health", 1s);
+    BOOST_TEST((!Succeeded(health) &&
+                Failure(health).kind == ErrorKind::BadMessage));
+  });
+}
+
 BOOST_AUTO_TEST_CASE(a_success_without_the_stamp_header_is_not_passed_on)
 {
   ScriptedTarget target{ { "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
