HTTP client: interim responses are skipped, not returned as the answer

What callers saw: an answer 100 or 103 ahead of the target's answer as if it were the answer, where the request bears no id or the interim response bears the same one. With the "not run" header in it, the request counted as not run.

Cause: interim responses were discarded only by the check for another request's answer, which compares ids.

Change: a response with a status from 100 to 199 is read and skipped whatever its fields; the bound on discarded responses stays. A connection is kept after one, as the final response says. A malformed one ends the exchange. A closed connection is never reusable, also after an interim response allowed it.

Evidence: before, 6 failed checks in interim_responses_are_skipped and 2 in an_interim_answer_is_skipped_and_its_connection_is_kept; now none. The tests of interim responses without end (endless_answer) still pass.

--- a/include/baobab/core/http_message.hpp
+++ b/include/baobab/core/http_message.hpp
@@ -49,6 +49,16 @@
   return aStatus >= kFirst && aStatus <= kLast;
 }
 
+/// Returns true for the statuses from 100 to 199, whose responses precede the
+/// final one.
+constexpr bool
+IsInterim(unsigned aStatus)
+{
+  constexpr unsigned kContinue = 100;
+  constexpr unsigned kOk = 200;
+  return aStatus >= kContinue && aStatus < kOk;
+}
+
 /// Returns true for the statuses from 200 to 299.
 constexpr bool
 IsSuccess(unsigned aStatus)
--- a/src/baobab/net/http_client.cpp
+++ b/src/baobab/net/http_client.cpp
@@ -15,8 +15,8 @@
 /// parsed yet are kept: lines of the head, of chunks and of trailers.
 constexpr std::size_t kMaxBufferBytes = 128U << 10U;
 
-/// Responses that are discarded for one request at most, because they belong to
-/// another one.
+/// Responses that are discarded for one request at most, because they are
+/// interim ones or belong to another request.
 constexpr int kMaxDiscarded = 8;
 
 /// Parses `Keep-Alive: timeout=SECONDS`.
@@ -86,15 +86,23 @@
     if (!written) {
       return this->Fail(written.error);
     }
+    bool extraResponse = false;
     for (int discarded = 0; discarded <= kMaxDiscarded; ++discarded) {
       auto response =
         this->ReadResponse(aRequest.method, aOptions.maxResponseBytes);
-      if (!Succeeded(response) || !aOptions.matchesRequest ||
+      if (!Succeeded(response)) {
+        return response;
+      }
+      if (IsInterim(Value(response).status)) {
+        continue;
+      }
+      if (!aOptions.matchesRequest ||
           aOptions.matchesRequest(Value(response))) {
-        this->keepAlive = this->keepAlive && discarded == 0;
+        this->keepAlive = this->keepAlive && !extraResponse;
         this->stream.expires_never();
         return response;
       }
+      extraResponse = true;
       if (!this->keepAlive) {
         break;
       }
@@ -112,7 +120,11 @@
 
   bool ResponseStarted() const override { return this->responseStarted; }
 
-  void Close() override { this->stream.close(); }
+  void Close() override
+  {
+    this->keepAlive = false;
+    this->stream.close();
+  }
 
 private:
   Result<Response> ReadResponse(std::string_view aMethod, std::size_t aMaxBytes)
@@ -155,7 +167,7 @@
 
   Error Fail(const beast::error_code& aError)
   {
-    this->stream.close();
+    this->Close();
     if (aError == beast::error::timeout) {
       return { ErrorKind::TimedOut, "no response within the timeout", "" };
     }
@@ -174,7 +186,7 @@
 
   Error FailMalformed(const std::string& aPart)
   {
-    this->stream.close();
+    this->Close();
     return { ErrorKind::BadMessage,
              "the response is malformed: " + aPart,
              "check the server that sent it" };
--- a/src/baobab/net/http_client_test.cpp
+++ b/src/baobab/net/http_client_test.cpp
@@ -157,6 +157,22 @@
   }
 }
 
+/// Callers were sent an interim response as the answer.
+BOOST_AUTO_TEST_CASE(interim_responses_are_skipped)
+{
+  for (const std::string interim : {
+         "HTTP/1.1 100 Continue\r\n\r\n",
+         "HTTP/1.1 102 Processing\r\n\r\n",
+         "HTTP/1.1 103 Early Hints\r\nLink: </s.css>\r\n\r\n",
+         "HTTP/1.1 199 \r\n\r\n",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n",
+       }) {
+    CheckBody(interim + kOk + kHello, "hello");
+  }
+  CheckMalformed("HTTP/1.1 100 Continue\r\nX y: v\r\n\r\n" + kOk + kHello);
+  CheckMalformed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Odd\r\n" + kHello);
+}
+
 BOOST_AUTO_TEST_CASE(valid_answers_are_accepted)
 {
   const std::string everyTokenCharacter =
--- a/src/baobab/node/target_client_test.cpp
+++ b/src/baobab/node/target_client_test.cpp
@@ -271,6 +271,20 @@
   }
 }
 
+/// Callers were sent an interim answer that bears the ID of their request.
+BOOST_AUTO_TEST_CASE(an_interim_answer_is_skipped_and_its_connection_is_kept)
+{
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nRequest-Id: r1\r\n"
+                              "Baobab-Not-Run: 1\r\n\r\n";
+  ScriptedTarget target{ { interim + Answer("r1", "one"),
+                           interim + Answer("r1", "two") } };
+  target.settings.headers.notRun = "Baobab-Not-Run";
+  target.Run([&](TargetClient& aClient) {
+    BOOST_TEST(BodyOf(RunOne(aClient, "r1")) == "one");
+    BOOST_TEST(BodyOf(RunOne(aClient, "r1")) == "two");
+  });
+}
+
 /// A load figure or an instance in a malformed answer must not be used.
 BOOST_AUTO_TEST_CASE(a_malformed_health_answer_is_not_used)
 {
@@ -278,8 +292,8 @@
                            "Content-Length: 0\r\n\r\n" } };
   target.Run([](TargetClient& aClient) {
     const auto health = aClient.GetHealth("/health", 1s);
-    BOOST_TEST((!Succeeded(health) &&
-                Failure(health).kind == ErrorKind::BadMessage));
+    BOOST_TEST(
+      (!Succeeded(health) && Failure(health).kind == ErrorKind::BadMessage));
   });
 }
 
