HTTP client: a switch of protocols that was not requested is malformed

What callers saw: status 101 of a target as the answer to a request that asked for no other protocol.

Cause: as for undefined statuses, nobody checked the status. Requests to targets never carry Upgrade, which is a field of one connection and not forwarded, so no 101 can be asked for.

--- a/src/baobab/net/http_client_test.cpp
+++ b/src/baobab/net/http_client_test.cpp
@@ -173,6 +173,13 @@
   CheckMalformed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Odd\r\n" + kHello);
 }
 
+BOOST_AUTO_TEST_CASE(a_switch_of_protocols_that_nobody_asked_for_is_refused)
+{
+  CheckMalformed("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+                 "Connection: upgrade\r\n\r\n" +
+                 kOk + kHello);
+}
+
 BOOST_AUTO_TEST_CASE(valid_answers_are_accepted)
 {
   const std::string everyTokenCharacter =
--- a/src/baobab/node/target_client_test.cpp
+++ b/src/baobab/node/target_client_test.cpp
@@ -247,8 +247,10 @@
 /// run because of a header beside it.
 BOOST_AUTO_TEST_CASE(a_malformed_answer_is_not_passed_on)
 {
-  for (const std::string line :
-       { "HTTP/1.1 000 Odd", "HTTP/1.1 099 Odd", "HTTP/1.1 600 Odd" }) {
+  for (const std::string line : { "HTTP/1.1 000 Odd",
+                                  "HTTP/1.1 099 Odd",
+                                  "HTTP/1.1 600 Odd",
+                                  "HTTP/1.1 101 Odd" }) {
     for (const std::string header : { "Stamp: s", "Baobab-Not-Run: 1" }) {
       ScriptedTarget target{ { Answer("r1", "one"),
                                line + "\r\nRequest-Id: r2\r\n" + header +
