HTTP client: transfer codings that were not offered are malformed

What callers saw: a body that was still encoded, framed as whole. Of an answer `Transfer-Encoding: gzip, chunked` the gzip bytes, of `chunked, gzip` the chunk sizes too, since the field itself is not forwarded. With `gzip` and a Content-Length the parser went by the length, where a reader that follows the protocol reads until the connection closes.

Cause: the parser knows `chunked` as the last coding and silently ignores the rest of the field.

Change: the check of the head accepts a Transfer-Encoding that names `chunked` alone, in any case and with empty list elements, from HTTP/1.1. No other coding is offered to servers (TE is never sent), so none may be used; HTTP/1.0 has none, and such a message is faulty by the protocol. `identity`, which HTTP/1.1 no longer has, is refused too. Where the response has no body, as to HEAD, the field does not matter.

--- a/src/baobab/net/http_client.cpp
+++ b/src/baobab/net/http_client.cpp
@@ -144,7 +144,7 @@
       });
       this->responseStarted = this->responseStarted || parser.got_some();
       if (!headChecked && parser.is_header_done()) {
-        if (const auto part = FindMalformedPart(parser.get().base())) {
+        if (const auto part = FindMalformedPart(parser.get().base(), aMethod)) {
           return this->FailMalformed(*part);
         }
         headChecked = true;
--- a/src/baobab/net/http_client_test.cpp
+++ b/src/baobab/net/http_client_test.cpp
@@ -133,6 +133,33 @@
   }
 }
 
+/// Callers were sent bodies that were still encoded. The client offers no
+/// transfer coding, so that it can decode only `chunked`.
+BOOST_AUTO_TEST_CASE(transfer_codings_other_than_chunked_are_refused)
+{
+  const std::string chunks = "5\r\nhello\r\n0\r\n\r\n";
+  for (const std::string fields : {
+         "Transfer-Encoding: gzip",
+         "Transfer-Encoding: identity",
+         "Transfer-Encoding: chunke",
+         "Transfer-Encoding: xchunked",
+         "Transfer-Encoding:",
+         "Transfer-Encoding: gzip, chunked",
+         "Transfer-Encoding: chunked, gzip",
+         "Transfer-Encoding: chunked, chunked",
+         "Transfer-Encoding: chunked;q=1",
+         "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+         "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+         "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+         "Transfer-Encoding: gzip\r\nContent-Length: 15",
+         "Content-Length: 15\r\nTransfer-Encoding: gzip",
+       }) {
+    CheckMalformed(kOk + fields + "\r\n\r\n" + chunks);
+  }
+  CheckMalformed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                 chunks);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_chunks_are_refused)
 {
   for (const std::string chunks : {
@@ -209,7 +236,11 @@
        }) {
     CheckBody(kChunkedOk + chunks, "hello");
   }
-  CheckBody(kOk + "Transfer-Encoding: Chunked\r\n\r\n0\r\n\r\n", "");
+  for (const std::string value : { "Chunked", "chunked,", ", chunked" }) {
+    CheckBody(kOk + "Transfer-Encoding:" + value +
+                "\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+              "hello");
+  }
 }
 
 /// The transfer coding of a response without a body is not applied.
--- a/src/baobab/net/response_check.hpp
+++ b/src/baobab/net/response_check.hpp
@@ -9,8 +9,10 @@
 
 namespace baobab {
 
-/// Returns what is malformed in a head; nothing if it is valid.
+/// Returns what is malformed in the head of a response; nothing if it is valid.
+/// @param aMethod method of the request
 std::optional<std::string> FindMalformedPart(
-  const http::response_header<>& aHead);
+  const http::response_header<>& aHead,
+  std::string_view aMethod);
 
 }
