HTTP client: control characters in chunk extensions are malformed

What callers saw: the decoded body of an answer whose chunk extensions hold control characters, such as a line feed, within quotes. A reader that ends lines at a line feed finds other chunks there, so that it is open which body is the target's.

Cause: the parser ends chunk lines at CR LF and takes any byte within a quoted extension.

Change: its callback for the head of a chunk refuses control characters other than tabs, with the rule that holds for field values (core/http_syntax).

--- a/src/baobab/net/http_client.cpp
+++ b/src/baobab/net/http_client.cpp
@@ -132,6 +132,7 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(aMaxBytes);
     parser.skip(aMethod == "HEAD");
+    parser.on_chunk_header(CheckChunkExtension);
     IoResult read;
     bool headChecked = false;
     do {
--- a/src/baobab/net/http_client_test.cpp
+++ b/src/baobab/net/http_client_test.cpp
@@ -179,6 +179,9 @@
          "5;\r\nhello\r\n0\r\n\r\n",
          "5;a=\x01\r\nhello\r\n0\r\n\r\n",
          "5\r\nhello\r\n0\r\nContent-Length: 5\r\n\r\n",
+         "5;a=\"\x01\"\r\nhello\r\n0\r\n\r\n",
+         "5;a=\"\n\"\r\nhello\r\n0\r\n\r\n",
+         "5\r\nhello\r\n0;a=\"\x7f\"\r\n\r\n",
        }) {
     CheckMalformed(kChunkedOk + chunks);
   }
--- a/src/baobab/net/response_check.cpp
+++ b/src/baobab/net/response_check.cpp
@@ -1,5 +1,7 @@
 #include "response_check.hpp"
 
+#include "baobab/core/http_syntax.hpp"
+
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
 
@@ -48,4 +50,14 @@
   return std::nullopt;
 }
 
+void
+CheckChunkExtension(std::uint64_t /*aSize*/,
+                    boost::beast::string_view aExtension,
+                    boost::beast::error_code& aError)
+{
+  if (!IsFieldValue({ aExtension.data(), aExtension.size() })) {
+    aError = http::error::bad_chunk_extension;
+  }
+}
+
 }
--- a/src/baobab/net/response_check.hpp
+++ b/src/baobab/net/response_check.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Checks of a response's head that the HTTP parser leaves to its user.
+/// Checks of a response that the HTTP parser leaves to its user.
 #pragma once
 
 #include "http_convert.hpp"
@@ -15,4 +15,10 @@
   const http::response_header<>& aHead,
   std::string_view aMethod);
 
+/// Callback of the parser for each chunk's head. Fails for extensions with
+/// control characters, which the parser accepts within quotes.
+void CheckChunkExtension(std::uint64_t aSize,
+                         boost::beast::string_view aExtension,
+                         boost::beast::error_code& aError);
+
 }
