Links: a malformed answer of another daemon is not passed on

What callers saw: what another daemon sent in an answer frame, whatever it was: status 0 or 65535, an interim status, a header with a line break in its name or value, which adds fields or a second response, or a field that frames the message.

Cause: as for HTTP, an answer counted as valid because its frame could be decoded; status and fields were not checked.

Change: the link checks each answer (core/answer_check, with the statuses and the syntax that also hold for HTTP). A malformed one ends the attempt like a call that was lost at its target: unknown, counted as a failure of the target, repeated on retry budget only if it is idempotent. The frame does not break the connection, since the daemon would be asked again and send the same answer. One line, peer_answer_malformed, names the request, the daemon and the part.

--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -415,6 +415,19 @@
   std::array{ LogField{ "error", "cause" } }
 };
 
+inline constexpr LogEvent kPeerAnswerMalformed{
+  "peer_answer_malformed",
+  "link",
+  LogLevel::Warning,
+  LogDropPolicy::DropFirst,
+  "Another daemon sent an answer that HTTP cannot carry. It is not passed on, "
+  "and the outcome of the request is unknown. Check the version of that "
+  "daemon.",
+  std::array{ LogField{ "request", "ID of the request" },
+              LogField{ "peer", "address of the daemon" },
+              LogField{ "error", "which part is malformed" } }
+};
+
 // Calls, at the daemon that received the call from its caller.
 
 inline constexpr LogEvent kCallAttempt{
--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <unordered_map>
 
 namespace baobab {
@@ -29,6 +30,8 @@
   /// If answered: time from the call's arrival at the target's daemon until its
   /// answer; 0 if not known.
   Duration serverTime = Duration::zero();
+  /// Set if the daemon's answer was malformed; it is not in the outcome.
+  std::optional<std::string> malformedPart;
 };
 
 /// Called when a daemon reports that the load of its target has changed.
@@ -114,6 +117,7 @@
     std::optional<LoadReport> load;
     Duration work = Duration::zero();
     Duration serverTime = Duration::zero();
+    std::optional<std::string> malformedPart;
     FiberEvent finished;
   };
 
--- a/src/baobab/net/log_events.cpp
+++ b/src/baobab/net/log_events.cpp
@@ -48,6 +48,7 @@
         kStoreEntryInvalid,
         kLinkLost,
         kPeerMessageInvalid,
+        kPeerAnswerMalformed,
         kCallAttempt,
         kCallEnded,
         kSecondSent,
--- a/src/baobab/node/attempt_runner.cpp
+++ b/src/baobab/node/attempt_runner.cpp
@@ -2,6 +2,8 @@
 
 #include "baobab/core/result.hpp"
 #include "baobab/net/clock.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 #include "baobab/node/target_signals.hpp"
 
 #include <algorithm>
@@ -153,6 +155,12 @@
     this->links.Get(target.endpoint)
       ->Run(aCall.request, terms, std::move(aPermit), &aCancellation);
   target.load.EndAttempt();
+  if (result.malformedPart) {
+    Log(kPeerAnswerMalformed,
+        aCall.record->RequestId(),
+        target.endpoint,
+        *result.malformedPart);
+  }
   record.duration = Now() - record.startedAt;
   this->RecordResult(aCall, target, result, record.duration);
   record.call = result.id;
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "baobab/node/peer_link.hpp"
 
+#include "baobab/core/answer_check.hpp"
 #include "baobab/core/result.hpp"
 #include "baobab/net/clock.hpp"
 #include "baobab/net/log.hpp"
@@ -71,11 +72,10 @@
     aCancellation->cancel = nullptr;
   }
   this->pending.erase(id.sequence);
-  return { id,
-           *pending.attempt.Result(),
-           pending.load,
-           pending.work,
-           pending.serverTime };
+  return {
+    id,           *pending.attempt.Result(), pending.load,
+    pending.work, pending.serverTime,        std::move(pending.malformedPart)
+  };
 }
 
 /// Ends an attempt whose outcome is no longer needed, and tells the target's
@@ -230,6 +230,10 @@
           aPending.load = aAnswer.load;
           aPending.work = aAnswer.work;
           aPending.serverTime = aAnswer.held;
+          aPending.malformedPart = FindMalformedPart(aAnswer.response);
+          if (aPending.malformedPart) {
+            return aPending.attempt.OnLost();
+          }
           return aPending.attempt.OnAnswer(std::move(aAnswer.response));
         });
       },
