--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -221,6 +221,7 @@
   "and "
   "the outcome of the request is unknown.",
   std::array{ LogField{ "request", "request ID from the caller's header" },
+              LogField{ "call", "ID of the attempt" },
               LogField{ "error", "which part is malformed" } }
 };
 
--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -231,7 +231,7 @@
   if (!Succeeded(response)) {
     const Error& error = Failure(response);
     if (error.kind == ErrorKind::BadMessage) {
-      Log(kTargetAnswerMalformed, id, error);
+      Log(kTargetAnswerMalformed, id, aCall.id, error);
     }
     return { OutcomeUnknown{ UnknownCauseOf(error.kind) },
              error.kind == ErrorKind::ConnectionLost &&
--- a/testing/integration/endless_answers.py
+++ b/testing/integration/endless_answers.py
@@ -7,10 +7,11 @@
 daemon PID must stay below MB.
 """
 import asyncio
-import json
 import re
 import sys
 
+from raw_http import announce, exchange, read_head, status_of
+
 ENDLESS_AT_ONCE = 40
 ROUNDS = 3
 DEADLINE_MS = 1500
@@ -22,10 +23,6 @@
 }
 
 
-async def read_head(reader):
-    return (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-
-
 async def serve(reader, writer):
     try:
         while True:
@@ -46,32 +43,10 @@
         writer.close()
 
 
-async def call(address, head, body=b""):
-    """Sends a request; returns the status, 0 if there was no answer."""
-    host, port = address.split(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    try:
-        writer.write((head + "Content-Length: %d\r\n\r\n" % len(body)).encode()
-                     + body)
-        return int((await read_head(reader)).split(" ")[1])
-    except (ConnectionError, asyncio.IncompleteReadError):
-        return 0
-    finally:
-        writer.close()
-
-
-async def announce(admin, target):
-    body = json.dumps({"service": "quoting", "address": target,
-                       "slots": 2 * ENDLESS_AT_ONCE,
-                       "state": "ready"}).encode()
-    while True:
-        await call(admin, "POST /announce HTTP/1.1\r\nHost: a\r\n", body)
-        await asyncio.sleep(1)
-
-
 async def get(callers, path):
-    return await call(callers, "GET %s HTTP/1.1\r\n"
-                      "Host: quoting.karri-ridge.example\r\n" % path)
+    return status_of(await exchange(
+        callers, "GET %s HTTP/1.1\r\n"
+        "Host: quoting.karri-ridge.example\r\n" % path))
 
 
 def peak_megabytes(pid):
@@ -83,7 +58,7 @@
     callers, admin, target, pid, limit = sys.argv[1:]
     host, port = target.split(":")
     await asyncio.start_server(serve, host, int(port))
-    asyncio.ensure_future(announce(admin, target))
+    asyncio.ensure_future(announce(admin, target, 2 * ENDLESS_AT_ONCE))
     for _ in range(200):
         if await get(callers, "/small") == 200:
             break
