Help texts of the malformed answers' log events; the link names its result's members

The texts say what earlier versions do. No change of behaviour; unit tests of core, net, node, load and wire and integration/malformed_answers_test.sh pass.

--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -217,9 +217,8 @@
   "target",
   LogLevel::Warning,
   LogDropPolicy::DropFirst,
-  "The target sent bytes that are no HTTP response. They are not passed on, "
-  "and "
-  "the outcome of the request is unknown.",
+  "The target sent a malformed answer. It is not passed on, and the outcome of "
+  "the request is unknown.",
   std::array{ LogField{ "request", "request ID from the caller's header" },
               LogField{ "call", "ID of the attempt" },
               LogField{ "error", "which part is malformed" } }
@@ -421,9 +420,8 @@
   "link",
   LogLevel::Warning,
   LogDropPolicy::DropFirst,
-  "Another daemon sent an answer that HTTP cannot carry. It is not passed on, "
-  "and the outcome of the request is unknown. Check the version of that "
-  "daemon.",
+  "Another daemon sent a malformed answer, as earlier versions may. It is not "
+  "passed on, and the outcome of the request is unknown.",
   std::array{ LogField{ "request", "ID of the request" },
               LogField{ "peer", "address of the daemon" },
               LogField{ "error", "which part is malformed" } }
--- a/src/baobab/net/http_client.cpp
+++ b/src/baobab/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "baobab/net/http_client.hpp"
 
 #include "baobab/net/clock.hpp"
+#include "http_convert.hpp"
 #include "response_check.hpp"
 
 #include <boost/beast/core.hpp>
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -72,9 +72,13 @@
     aCancellation->cancel = nullptr;
   }
   this->pending.erase(id.sequence);
-  return {
-    id,           *pending.attempt.Result(), pending.load,
-    pending.work, pending.serverTime,        std::move(pending.malformedPart)
+  return AttemptResult{
+    .id = id,
+    .outcome = *pending.attempt.Result(),
+    .load = pending.load,
+    .work = pending.work,
+    .serverTime = pending.serverTime,
+    .malformedPart = std::move(pending.malformedPart),
   };
 }
 
