--- a/src/baobab/net/http_client_test.cpp
+++ b/src/baobab/net/http_client_test.cpp
@@ -1,6 +1,5 @@
 #include "baobab/net/http_client.hpp"
 
-#include "baobab/net/clock.hpp"
 #include "testing/scripted_server.hpp"
 
 namespace baobab {
