Tests: an answer counts by its status only when its head is complete

raw_http.py, made of the functions of endless_answers.py, took the status of an answer that was cut within its head; the function it replaced counted such an answer as none. The check is as strict as before again.

--- a/src/baobab/load/runner_test.cpp
+++ b/src/baobab/load/runner_test.cpp
@@ -8,7 +8,7 @@
 namespace baobab {
 namespace {
 
-/// Returns the outcome of the only call of an experiment against a server.
+/// Returns the outcome that all calls of a short experiment have.
 ReportedOutcome
 OutcomeWith(const std::string& aAnswer)
 {
--- a/testing/integration/raw_http.py
+++ b/testing/integration/raw_http.py
@@ -22,8 +22,8 @@
 
 
 def status_of(answer):
-    """Returns the status of an answer, 0 if there was none."""
-    return int(answer.split(b" ")[1]) if answer else 0
+    """Returns the status of an answer, 0 if its head is not complete."""
+    return int(answer.split(b" ")[1]) if b"\r\n\r\n" in answer else 0
 
 
 async def announce(admin, target, slots):
