Header names are compared in one place

SameHeaderName moves from net/http_server to core/http_syntax, where the check of daemons' answers and IsHopByHop call it too; both had its loop written out again, the first one since.

--- a/include/baobab/core/http_syntax.hpp
+++ b/include/baobab/core/http_syntax.hpp
@@ -6,6 +6,9 @@
 
 namespace baobab {
 
+/// Compares header names without regard to case.
+bool SameHeaderName(std::string_view aLeft, std::string_view aRight);
+
 /// Returns true if a text is a token, as the names of fields are.
 bool IsToken(std::string_view aText);
 
--- a/include/baobab/net/http_server.hpp
+++ b/include/baobab/net/http_server.hpp
@@ -139,9 +139,6 @@
                const HttpHandler& aHandler,
                HttpServerState& aState);
 
-/// Compares header names without regard to case.
-bool SameHeaderName(std::string_view aLeft, std::string_view aRight);
-
 /// Returns the value of the first header with a name; empty if there is none.
 std::string_view FindHeader(const std::vector<HeaderField>& aHeaders,
                             std::string_view aName);
--- a/src/baobab/core/answer_check.cpp
+++ b/src/baobab/core/answer_check.cpp
@@ -3,8 +3,6 @@
 #include "baobab/core/http_syntax.hpp"
 
 #include <algorithm>
-#include <array>
-#include <cctype>
 
 namespace baobab {
 namespace {
@@ -14,11 +12,8 @@
 bool
 IsFraming(std::string_view aName)
 {
-  constexpr std::array<std::string_view, 2> kFraming = { "content-length",
-                                                         "transfer-encoding" };
-  return std::ranges::any_of(kFraming, [&](std::string_view aFraming) {
-    return std::ranges::equal(aFraming, aName, {}, {}, ::tolower);
-  });
+  return SameHeaderName(aName, "Content-Length") ||
+         SameHeaderName(aName, "Transfer-Encoding");
 }
 
 }
--- a/src/baobab/core/http_syntax.cpp
+++ b/src/baobab/core/http_syntax.cpp
@@ -1,6 +1,7 @@
 #include "baobab/core/http_syntax.hpp"
 
 #include <algorithm>
+#include <cctype>
 
 namespace baobab {
 namespace {
@@ -26,6 +27,12 @@
 
 }
 
+bool
+SameHeaderName(std::string_view aLeft, std::string_view aRight)
+{
+  return std::ranges::equal(aLeft, aRight, {}, ::tolower, ::tolower);
+}
+
 bool
 IsToken(std::string_view aText)
 {
--- a/src/baobab/net/http_convert.cpp
+++ b/src/baobab/net/http_convert.cpp
@@ -1,8 +1,9 @@
 #include "http_convert.hpp"
 
+#include "baobab/core/http_syntax.hpp"
+
 #include <algorithm>
 #include <array>
-#include <cctype>
 
 namespace baobab {
 
@@ -15,7 +16,7 @@
     "expect",     "proxy-connection", "content-length",
   };
   return std::ranges::any_of(kHopByHop, [&](std::string_view aHopByHop) {
-    return std::ranges::equal(aHopByHop, aName, {}, {}, ::tolower);
+    return SameHeaderName(aHopByHop, aName);
   });
 }
 
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -1,4 +1,5 @@
 #include "baobab/net/http_server.hpp"
+#include "baobab/core/http_syntax.hpp"
 #include "baobab/net/clock.hpp"
 
 #include "baobab/net/accept.hpp"
@@ -8,7 +9,6 @@
 #include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/fiber/operations.hpp>
-#include <cctype>
 #include <unordered_set>
 #include <utility>
 
@@ -361,12 +361,6 @@
   connections->accepting = false;
 }
 
-bool
-SameHeaderName(std::string_view aLeft, std::string_view aRight)
-{
-  return std::ranges::equal(aLeft, aRight, {}, ::tolower, ::tolower);
-}
-
 std::string_view
 FindHeader(const std::vector<HeaderField>& aHeaders, std::string_view aName)
 {
--- a/src/baobab/node/ingress_call.cpp
+++ b/src/baobab/node/ingress_call.cpp
@@ -1,5 +1,6 @@
 #include "baobab/node/ingress_call.hpp"
 
+#include "baobab/core/http_syntax.hpp"
 #include "baobab/decision/quarantine.hpp"
 #include "baobab/net/clock.hpp"
 #include "baobab/node/headers.hpp"
--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -1,5 +1,6 @@
 #include "baobab/node/target_client.hpp"
 
+#include "baobab/core/http_syntax.hpp"
 #include "baobab/net/clock.hpp"
 #include "baobab/net/http_server.hpp"
 #include "baobab/net/log.hpp"
