Shared types for workspaces, warm-up and homes

Cause: parts that are built side by side need the same types: a workspace, its place in calls between daemons, the settings and the refusal reasons. Change: WorkspaceSpec, routes with regions and anonymous access, the limit of cold targets, a target's locality, six refusal reasons, settings.

--- a/include/baobab/core/outcome.hpp
+++ b/include/baobab/core/outcome.hpp
@@ -32,10 +32,22 @@
   WrongInstance,
   /// The target takes no more requests a second.
   RateLimited,
+  /// The target's availability zone is evacuated.
+  Evacuated,
+  /// The target is cold and takes no more calls at the moment.
+  WarmingUp,
+  /// No target may be used in the regions to which the call is confined.
+  RegionFull,
+  /// The workspace has used up its quota.
+  OverQuota,
+  /// It is not known whether the key of the call is still valid.
+  KeysOutdated,
+  /// The daemon has no memory left for the call.
+  OutOfMemory,
 };
 
 /// Highest value of RefusalReason, to check values that are received.
-constexpr RefusalReason kLastRefusalReason = RefusalReason::RateLimited;
+constexpr RefusalReason kLastRefusalReason = RefusalReason::OutOfMemory;
 
 /// Returns the name of a reason in logs and metrics. These names are stable.
 std::string_view Name(RefusalReason aReason);
--- a/include/baobab/core/service.hpp
+++ b/include/baobab/core/service.hpp
@@ -4,6 +4,7 @@
 
 #include "baobab/core/schema.hpp"
 #include "baobab/core/time.hpp"
+#include "baobab/core/workspace.hpp"
 
 #include <cstdint>
 #include <string>
@@ -69,6 +70,10 @@
   Millis objective{ 0 };
   /// Services that share the calls; empty: the service of the file.
   std::vector<WeightedService> split;
+  /// True if calls need no key of a workspace.
+  bool anonymous = false;
+  /// Regions in which calls may be served; empty: all.
+  std::vector<std::string> regions;
 
   bool operator==(const RouteSpec&) const = default;
 };
@@ -89,6 +94,16 @@
   bool operator==(const CallerLimits&) const = default;
 };
 
+/// Limit on calls to a target that is cold, because it has just started or has
+/// lost its caches.
+struct WarmupSpec
+{
+  /// Time for which a target is cold after its start.
+  Millis time{ 0 };
+  /// Calls per second that a cold target takes; 0: no limit.
+  double ratePerSecond = 0;
+};
+
 struct ServiceLimits
 {
   /// Maximum size of a request body.
@@ -192,6 +207,9 @@
   SpillSpec spill;
   ObjectiveSpec objective;
   QuarantineSpec quarantine;
+  WarmupSpec warmup;
+  /// Workspaces, of which one file may declare those for all services.
+  std::vector<WorkspaceSpec> workspaces;
   /// Time in which a target that became ready reaches its full share of calls.
   Millis ramp{ 10000 };
 };
--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -96,6 +96,11 @@
   std::string requestLimit = "Baobab-Limit";
   /// From targets, in each answer while they are leaving: 1.
   std::string leaving = "Baobab-Leaving";
+  /// To targets: name of the workspace that the call belongs to.
+  std::string workspace = "Baobab-Workspace";
+  /// From targets, on their health path: time in milliseconds for which they
+  /// stay cold.
+  std::string warmup = "Baobab-Warmup-Ms";
   /// True if the statuses 408, 421, 429 and 503 tell callers that the request
   /// was not run. A target's own answer with such a status is then not passed
   /// on.
@@ -133,6 +138,15 @@
   double logCallShare = 0.01;
 };
 
+struct WorkspaceSettings
+{
+  /// Time after the publication of a configuration from which on no daemon
+  /// accepts a key that it has withdrawn, even if the daemon cannot learn of
+  /// it: calls with keys are refused while the configuration is not known to be
+  /// newer than that. 0: calls are served with the configuration in force.
+  Millis revocationTime{ 0 };
+};
+
 struct Settings
 {
   /// Address on which calls are accepted.
@@ -172,6 +186,7 @@
   std::string logLevel = "info";
   Timeouts timeouts;
   ControlBudget control;
+  WorkspaceSettings workspaces;
 
   /// Returns the address that identifies this daemon to the others.
   Endpoint Identity() const { return this->announced.value_or(this->peers); }
--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -63,6 +63,8 @@
   std::int64_t answerBytes = 0;
   /// Limit of requests a second that the target named lately.
   std::optional<double> targetLimit;
+  /// Workspace of the caller; 0: none.
+  WorkspaceId workspace = 0;
 };
 
 /// Identifies a worker to the daemons that it calls.
--- a/include/baobab/node/route_table.hpp
+++ b/include/baobab/node/route_table.hpp
@@ -28,13 +28,15 @@
 /// A target with its load and circuit breaker as this daemon sees them.
 struct TargetEntry
 {
-  TargetEntry(Endpoint aEndpoint, std::uint16_t aSlots)
+  TargetEntry(Endpoint aEndpoint, std::uint16_t aSlots, Locality aLocality = {})
     : endpoint(aEndpoint)
+    , locality(std::move(aLocality))
     , load(aSlots)
   {
   }
 
   Endpoint endpoint;
+  Locality locality;
   TargetLoad load;
   Breaker breaker;
   NamedLimit namedLimit;
--- a/include/baobab/wire/peer_message.hpp
+++ b/include/baobab/wire/peer_message.hpp
@@ -7,6 +7,7 @@
 #include "baobab/core/load_report.hpp"
 #include "baobab/core/outcome.hpp"
 #include "baobab/core/time.hpp"
+#include "baobab/core/workspace.hpp"
 #include "baobab/decision/burn_report.hpp"
 #include "baobab/decision/call_ledger.hpp"
 #include "baobab/decision/configuration.hpp"
@@ -61,6 +62,8 @@
   /// Limit of requests a second that the sender saw in the target's last
   /// answer.
   std::optional<double> targetLimit;
+  /// Workspace of the caller; 0: none.
+  WorkspaceId workspace = 0;
 };
 
 struct AnswerMessage
--- a/src/baobab/core/outcome.cpp
+++ b/src/baobab/core/outcome.cpp
@@ -34,6 +34,18 @@
       return "wrong-instance";
     case RefusalReason::RateLimited:
       return "rate-limited";
+    case RefusalReason::Evacuated:
+      return "evacuated";
+    case RefusalReason::WarmingUp:
+      return "warming-up";
+    case RefusalReason::RegionFull:
+      return "region-full";
+    case RefusalReason::OverQuota:
+      return "over-quota";
+    case RefusalReason::KeysOutdated:
+      return "keys-outdated";
+    case RefusalReason::OutOfMemory:
+      return "out-of-memory";
   }
   return "overloaded";
 }
--- a/src/baobab/core/service_schema.cpp
+++ b/src/baobab/core/service_schema.cpp
@@ -104,6 +104,19 @@
     { 0, 600000 },
     "ms",
     "Time in which a target that became ready reaches its full share."));
+  add(DurationField<S>(
+    "warmup.time_ms",
+    [](S& s) -> auto& { return s.warmup.time; },
+    { 0, 600000 },
+    "ms",
+    "Time for which a target is cold after its start."));
+  add(RealField<S>(
+    "warmup.rate_per_s",
+    [](S& s) -> auto& { return s.warmup.ratePerSecond; },
+    0,
+    1000000,
+    "calls/s",
+    "Calls that a cold target takes from all daemons together; 0: no limit."));
   add(BasicField<S>(
     "idempotent_paths",
     [](S& s) -> auto& { return s.idempotentPaths; },
@@ -334,6 +347,14 @@
       { 0, 600000 },
       "ms",
       "Latency objective of a call; 0: `objective.latency_ms`."),
+    BasicField<R>(
+      "anonymous",
+      [](R& r) -> auto& { return r.anonymous; },
+      "Calls need no key of a workspace."),
+    BasicField<R>(
+      "regions",
+      [](R& r) -> auto& { return r.regions; },
+      "Regions in which calls may be served; empty: all."),
     SplitField(),
   };
 }
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -106,6 +106,15 @@
     "leaving",
     [](S& s) -> auto& { return s.headers.leaving; },
     "From targets: `1` in each answer while they are leaving."));
+  add(HeaderNameField(
+    "workspace",
+    [](S& s) -> auto& { return s.headers.workspace; },
+    "To targets: name of the workspace that the call belongs to."));
+  add(HeaderNameField(
+    "warmup",
+    [](S& s) -> auto& { return s.headers.warmup; },
+    "From targets, on their health path: time in milliseconds for which they "
+    "stay cold."));
   add(HeaderNameField(
     "stamp",
     [](S& s) -> auto& { return s.headers.stamp; },
@@ -328,6 +337,15 @@
       { 0, 1000000 },
       "ms/MB",
       "Extra latency accepted to keep a megabyte in its region.")),
+    DurationField<S>(
+      "workspaces.revocation_ms",
+      [](S& s) -> auto& { return s.workspaces.revocationTime; },
+      { 0, 600000 },
+      "ms",
+      "Time after the publication of a configuration from which on no daemon "
+      "accepts a key that it has withdrawn; calls with keys are refused while "
+      "the configuration is not known to be newer than that. 0: never "
+      "refused."),
     DurationField<S>(
       "control.status_ms",
       [](S& s) -> auto& { return s.control.statusPeriod; },
--- a/src/baobab/decision/retry_state.cpp
+++ b/src/baobab/decision/retry_state.cpp
@@ -35,6 +35,9 @@
     case RefusalReason::Unreachable:
     case RefusalReason::Overloaded:
     case RefusalReason::RateLimited:
+    case RefusalReason::Evacuated:
+    case RefusalReason::WarmingUp:
+    case RefusalReason::OutOfMemory:
       return RefusalClass::NoLoad;
     case RefusalReason::Shed:
     case RefusalReason::WrongInstance:
@@ -44,6 +47,9 @@
     case RefusalReason::NoTarget:
     case RefusalReason::TooLarge:
     case RefusalReason::Cancelled:
+    case RefusalReason::RegionFull:
+    case RefusalReason::OverQuota:
+    case RefusalReason::KeysOutdated:
       break;
   }
   return RefusalClass::Final;
--- a/src/baobab/node/attempt_runner.cpp
+++ b/src/baobab/node/attempt_runner.cpp
@@ -57,6 +57,7 @@
     case RefusalReason::Leaving:
     case RefusalReason::NotReady:
     case RefusalReason::WrongService:
+    case RefusalReason::Evacuated:
       aTarget.breaker.OpenFor(Now(), kNotReadyPause);
       break;
     case RefusalReason::RateLimited:
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -126,7 +126,8 @@
         std::chrono::duration_cast<Micros>(aPending.terms.alternative),
         aPending.terms.traced,
         static_cast<std::uint64_t>(aPending.terms.answerBytes),
-        aPending.terms.targetLimit });
+        aPending.terms.targetLimit,
+        aPending.terms.workspace });
       break;
     case AttemptAction::SendAsk:
       this->connection->Send(
--- a/src/baobab/node/responses.cpp
+++ b/src/baobab/node/responses.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr unsigned kBadGateway = 502;
+constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
 
@@ -31,7 +32,14 @@
     case RefusalReason::Shed:
     case RefusalReason::WrongInstance:
     case RefusalReason::RateLimited:
+    case RefusalReason::Evacuated:
+    case RefusalReason::WarmingUp:
+    case RefusalReason::RegionFull:
+    case RefusalReason::KeysOutdated:
+    case RefusalReason::OutOfMemory:
       return kUnavailable;
+    case RefusalReason::OverQuota:
+      return kTooManyRequests;
     case RefusalReason::Quarantined:
       return kBadGateway;
   }
--- a/src/baobab/node/route_table.cpp
+++ b/src/baobab/node/route_table.cpp
@@ -67,12 +67,10 @@
   Service& service = this->services[aMember.service];
   const auto [found, added] = service.targets.try_emplace(aMember.endpoint);
   Target& target = found->second;
-  if (added) {
-    target.entry =
-      std::make_shared<TargetEntry>(aMember.endpoint, aMember.slots);
-    this->serviceOf[aMember.endpoint] = aMember.service;
-  }
   if (added || target.locality != aMember.locality) {
+    target.entry = std::make_shared<TargetEntry>(
+      aMember.endpoint, aMember.slots, aMember.locality);
+    this->serviceOf[aMember.endpoint] = aMember.service;
     target.locality = aMember.locality;
     service.changed = true;
   }
--- a/src/baobab/wire/peer_decode.cpp
+++ b/src/baobab/wire/peer_decode.cpp
@@ -120,6 +120,7 @@
   if (std::isfinite(aCall.target_limit()) && aCall.target_limit() >= 0) {
     message.targetLimit = aCall.target_limit();
   }
+  message.workspace = aCall.workspace();
   return PeerMessage(std::move(message));
 }
 
--- a/src/baobab/wire/peer_encode.cpp
+++ b/src/baobab/wire/peer_encode.cpp
@@ -120,7 +120,8 @@
                           ToWireMicros(aMessage.alternative),
                           aMessage.traced,
                           aMessage.answerBytes,
-                          aMessage.targetLimit.value_or(-1))
+                          aMessage.targetLimit.value_or(-1),
+                          aMessage.workspace)
              .Union() };
 }
 
