Choice: calls are served only in the regions of their route

Change: RegionLimits (route and workspace, both apply) in every choice of a target: first, repeated, second and isolated sends. A confined call is not refused by the budget between regions, because it has no other place. With no target in its regions it is refused at once (region-full).

--- a/include/baobab/node/ingress_call.hpp
+++ b/include/baobab/node/ingress_call.hpp
@@ -4,6 +4,7 @@
 
 #include "baobab/core/http_message.hpp"
 #include "baobab/core/random.hpp"
+#include "baobab/core/region_limits.hpp"
 #include "baobab/core/settings.hpp"
 #include "baobab/net/http_server.hpp"
 #include "baobab/node/call_record.hpp"
@@ -33,6 +34,9 @@
   std::shared_ptr<CallRecord> record;
   /// Statistics of the service; owned by the worker.
   ServiceStats* stats = nullptr;
+
+  /// Regions in which the call may be served.
+  RegionLimits Regions() const { return { this->route->spec.regions, {} }; }
 };
 
 /// True if the request is known to crash targets and must not be sent to any.
--- a/include/baobab/node/target_chooser.hpp
+++ b/include/baobab/node/target_chooser.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "baobab/core/random.hpp"
+#include "baobab/core/region_limits.hpp"
 #include "baobab/core/settings.hpp"
 #include "baobab/node/route_table.hpp"
 
@@ -32,6 +33,8 @@
   /// cross-region call budget if the target is in another region.
   std::int64_t bytes = 0;
   PlacementSpec placement;
+  /// Regions in which the call may be served.
+  RegionLimits regions;
 };
 
 /// Chooses a target by the service's policy. Targets with an open circuit
@@ -48,6 +51,7 @@
 /// daemons that know the same targets choose the same one, so that such a
 /// request affects no other target.
 ChosenTarget ChooseIsolated(const ServiceRoute& aRoute,
-                            std::uint64_t aFingerprint);
+                            std::uint64_t aFingerprint,
+                            const RegionLimits& aRegions);
 
 }
--- a/src/baobab/node/attempt_runner.cpp
+++ b/src/baobab/node/attempt_runner.cpp
@@ -126,9 +126,10 @@
                       const std::vector<Endpoint>& aTried)
 {
   if (aCall.suspect) {
-    return aTried.empty()
-             ? ChooseIsolated(*aCall.serviceRoute, aCall.suspect->fingerprint)
-             : ChosenTarget{};
+    return aTried.empty() ? ChooseIsolated(*aCall.serviceRoute,
+                                           aCall.suspect->fingerprint,
+                                           aCall.Regions())
+                          : ChosenTarget{};
   }
   return ChooseTarget(
     *aCall.serviceRoute, aTried, this->TermsOf(aCall), this->random, Now());
@@ -210,6 +211,7 @@
       kCallOverheadBytes + routeState.AnswerBytes(),
     this->routes.Read(
       [](const RouteTable& aTable) { return aTable.live.placement; }),
+    aCall.Regions(),
   };
 }
 
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -225,6 +225,10 @@
       break;
     }
   }
+  if (retryState.Attempts() == 0 && aCall.Regions().Confined()) {
+    return NotRun{ RefusalReason::RegionFull,
+                   "no target may be used in the regions of the call" };
+  }
   Outcome result = retryState.Result();
   if (auto* refusal = std::get_if<NotRun>(&result)) {
     refusal->retried = refusal->retried || retryState.Attempts() > 1;
--- a/src/baobab/node/route_table_test.cpp
+++ b/src/baobab/node/route_table_test.cpp
@@ -146,8 +146,39 @@
     builder.Update(Member(host));
   }
   const auto table = BuildWith(builder, ConfigurationOf(kServiceFile));
-  const auto first = ChooseIsolated(*table->serviceRoutes[0], 77).target;
-  BOOST_TEST(ChooseIsolated(*table->serviceRoutes[0], 77).target == first);
+  const auto first = ChooseIsolated(*table->serviceRoutes[0], 77, {}).target;
+  BOOST_TEST(ChooseIsolated(*table->serviceRoutes[0], 77, {}).target == first);
+}
+
+/// Guards against work that leaves the regions to which it is confined: also
+/// for repeats, with open breakers, without budget and for suspects.
+BOOST_AUTO_TEST_CASE(a_confined_call_is_served_only_in_its_regions)
+{
+  RouteTableBuilder builder(kHere);
+  builder.Update(Member(1));
+  builder.Update(Member(2, { "perth", "south" }));
+  builder.Update(Member(3, { "south-west", "albany" }));
+  const auto table = BuildWith(builder, ConfigurationOf(kServiceFile));
+  const ServiceRoute& route = *table->serviceRoutes[0];
+  route.state->crossRegionCallBudget.SetRate(0);
+  const std::vector<std::string> homes{ "south-west" };
+  SplitMix random(1);
+  const Endpoint home{ 3, 7100 };
+  const auto choose = [&](const std::vector<Endpoint>& aTried) {
+    return ChooseTarget(
+             route, aTried, { 100ms, 600, {}, { homes, {} } }, random, kNow)
+      .target;
+  };
+  BOOST_REQUIRE(choose({}) != nullptr);
+  BOOST_TEST((choose({})->endpoint == home));
+  BOOST_TEST(choose({ home }) == nullptr);
+  route.tiers[2][0]->breaker.OpenFor(kNow, 1s);
+  BOOST_TEST((choose({})->endpoint == home));
+  for (std::uint64_t fingerprint = 1; fingerprint <= 20; ++fingerprint) {
+    const auto isolated = ChooseIsolated(route, fingerprint, { homes, {} });
+    BOOST_REQUIRE(isolated.target != nullptr);
+    BOOST_TEST((isolated.target->endpoint == home));
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/baobab/node/target_chooser.cpp
+++ b/src/baobab/node/target_chooser.cpp
@@ -28,10 +28,12 @@
 public:
   Chooser(const ServiceRoute& aRoute,
           const std::vector<Endpoint>& aTried,
+          const RegionLimits& aRegions,
           SplitMix& aRandom,
           TimePoint aNow)
     : route(aRoute)
     , tried(aTried)
+    , regions(aRegions)
     , random(aRandom)
     , now(aNow)
     , targetMeans(aRoute.state->TargetMeans())
@@ -61,8 +63,7 @@
     std::vector<ChosenTarget> targets;
     for (const Tier tier :
          { Tier::SameZone, Tier::SameRegion, Tier::OtherRegion }) {
-      if (tier != Tier::OtherRegion ||
-          this->route.service->spec.spill.crossRegion) {
+      if (tier != Tier::OtherRegion || this->MayLeaveRegion()) {
         this->AddCandidates(tier, aTerms, candidates, targets);
       }
     }
@@ -83,6 +84,8 @@
 
   /// Reserves an attempt at the target's circuit breaker and, if the target is
   /// in another region, in the call budget. Returns false if either refuses it.
+  /// A call that is confined to other regions has no choice, so the budget is
+  /// charged but does not refuse it.
   bool TryReserve(const ChosenTarget& aChosen, const ChoiceTerms& aTerms)
   {
     if (!this->ignoreBreakers &&
@@ -91,7 +94,14 @@
     }
     return aChosen.tier != Tier::OtherRegion ||
            this->route.state->crossRegionCallBudget.Charge(aTerms.bytes,
-                                                           this->now);
+                                                           this->now) ||
+           this->regions.Confined();
+  }
+
+  bool MayLeaveRegion() const
+  {
+    return this->route.service->spec.spill.crossRegion ||
+           this->regions.Confined();
   }
 
   void AddCandidates(Tier aTier,
@@ -167,12 +177,13 @@
   std::shared_ptr<TargetEntry> ChooseInOtherRegion(bool aOnlyOption,
                                                    std::int64_t aBytes)
   {
-    if (!this->route.service->spec.spill.crossRegion) {
+    if (!this->MayLeaveRegion()) {
       return nullptr;
     }
     auto target = this->ChooseInTier(Tier::OtherRegion);
     if (!target || !(aOnlyOption || this->HasCapacity(*target)) ||
-        !this->route.state->crossRegionCallBudget.Charge(aBytes, this->now)) {
+        !(this->route.state->crossRegionCallBudget.Charge(aBytes, this->now) ||
+          this->regions.Confined())) {
       return nullptr;
     }
     return target;
@@ -221,7 +232,8 @@
 
   bool Usable(const TargetEntry& aTarget) const
   {
-    return (this->ignoreBreakers || !aTarget.breaker.IsOpen(this->now)) &&
+    return this->regions.Allows(aTarget.locality.region) &&
+           (this->ignoreBreakers || !aTarget.breaker.IsOpen(this->now)) &&
            std::ranges::find(this->tried, aTarget.endpoint) ==
              this->tried.end();
   }
@@ -240,6 +252,7 @@
 
   const ServiceRoute& route;
   const std::vector<Endpoint>& tried;
+  const RegionLimits& regions;
   SplitMix& random;
   TimePoint now;
   TargetPrior targetMeans;
@@ -255,20 +268,23 @@
              SplitMix& aRandom,
              TimePoint aNow)
 {
-  Chooser chooser(aRoute, aTried, aRandom, aNow);
+  Chooser chooser(aRoute, aTried, aTerms.regions, aRandom, aNow);
   const ChosenTarget chosen = chooser.Choose(aTerms);
   return chosen.target ? chosen : chooser.ChooseIgnoringBreakers(aTerms);
 }
 
 ChosenTarget
-ChooseIsolated(const ServiceRoute& aRoute, std::uint64_t aFingerprint)
+ChooseIsolated(const ServiceRoute& aRoute,
+               std::uint64_t aFingerprint,
+               const RegionLimits& aRegions)
 {
   std::vector<Endpoint> endpoints;
   for (const Targets& targets : aRoute.tiers) {
-    std::ranges::transform(
-      targets, std::back_inserter(endpoints), [](const auto& aTarget) {
-        return aTarget->endpoint;
-      });
+    for (const auto& target : targets) {
+      if (aRegions.Allows(target->locality.region)) {
+        endpoints.push_back(target->endpoint);
+      }
+    }
   }
   const auto pick = RendezvousPick(endpoints, std::to_string(aFingerprint), 1);
   for (std::size_t tier = 0; tier < kTierCount; ++tier) {
