Choice: calls leave their zone when that meets their objective

Cause: calls went wherever they were expected to finish first, with bytes as a small extra latency, so that they paid for bytes without a gain for their callers; many daemons saw the same free targets. Change: tier_choice keeps a call in the nearest tier that meets its objective with a margin; outflow_window limits what one daemon has in flight elsewhere by how earlier calls ended there. placement.objective_margin, 0 = off.

--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -118,6 +118,11 @@
   Millis zonePenaltyPerMegabyte{ 0 };
   /// Penalty for a megabyte that leaves its region.
   Millis regionPenaltyPerMegabyte{ 0 };
+  /// Factor by which the expected time of a call may be exceeded without
+  /// missing its objective. A call stays in its availability zone while it has
+  /// that much time there; 0: calls go wherever they are expected to finish
+  /// first.
+  double objectiveMargin = 0;
 };
 
 /// Upper limits on the retries that service files allow.
--- a/include/baobab/node/service_state.hpp
+++ b/include/baobab/node/service_state.hpp
@@ -2,12 +2,15 @@
 /// State of a service that outlives a change of the configuration.
 #pragma once
 
+#include "baobab/core/locality.hpp"
 #include "baobab/core/service.hpp"
 #include "baobab/decision/byte_budget.hpp"
 #include "baobab/decision/choice.hpp"
+#include "baobab/decision/outflow_window.hpp"
 #include "baobab/decision/retry_budget.hpp"
 #include "baobab/decision/target_load.hpp"
 
+#include <array>
 #include <atomic>
 
 namespace baobab {
@@ -71,10 +74,18 @@
   ByteBudget crossRegionCallBudget;
   RoundRobinChoice roundRobin;
 
+  /// Window of the calls that this daemon sends to a tier although a nearer one
+  /// has targets.
+  OutflowWindow& Outflow(Tier aTier)
+  {
+    return this->outflow[static_cast<std::size_t>(aTier)];
+  }
+
 private:
   std::atomic<std::int64_t> meanLatency{ 0 };
   std::atomic<double> meanOthers{ 0 };
   std::atomic<double> meanSlowness{ 1 };
+  std::array<OutflowWindow, kTierCount> outflow;
 };
 
 }
--- a/include/baobab/node/target_chooser.hpp
+++ b/include/baobab/node/target_chooser.hpp
@@ -22,6 +22,9 @@
   Duration expectedTime = Duration::zero();
   /// Expected time at the best other target; 0 if there is none.
   Duration alternative = Duration::zero();
+  /// True if a nearer tier has targets, so that the service's outflow window
+  /// applies.
+  bool leaves = false;
 };
 
 /// Properties of a call on which the choice of its target depends.
@@ -35,6 +38,8 @@
   PlacementSpec placement;
   /// Regions in which the call may be served.
   RegionLimits regions;
+  Duration timeToObjective = Duration::zero();
+  Duration timeToDeadline = Duration::zero();
 };
 
 /// Chooses a target by the service's policy. Targets with an open circuit
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -337,6 +337,15 @@
       { 0, 1000000 },
       "ms/MB",
       "Extra latency accepted to keep a megabyte in its region.")),
+    Live(RealField<S>(
+      "placement.objective_margin",
+      [](S& s) -> auto& { return s.live.placement.objectiveMargin; },
+      0,
+      10,
+      "factor",
+      "Calls stay in their availability zone while their expected time there, "
+      "times this factor, meets their latency objective; 0: they go wherever "
+      "they are expected to finish first, with the extra latencies above.")),
     DurationField<S>(
       "workspaces.revocation_ms",
       [](S& s) -> auto& { return s.workspaces.revocationTime; },
--- a/src/baobab/node/attempt_runner.cpp
+++ b/src/baobab/node/attempt_runner.cpp
@@ -83,6 +83,16 @@
   }
 }
 
+/// Returns whether a call that left its zone found room there. A call that the
+/// target failed says nothing about the room.
+OutflowResult
+OutflowResultOf(const IngressCall& aCall, const Outcome& aOutcome)
+{
+  const bool answered = std::holds_alternative<Answered>(aOutcome);
+  return answered && Now() <= aCall.terms.objective ? OutflowResult::InTime
+                                                    : OutflowResult::NoRoom;
+}
+
 void
 SetOutcome(const Outcome& aOutcome, AttemptRecord& aRecord)
 {
@@ -146,6 +156,10 @@
   AttemptRecord record;
   record.startedAt = Now();
   target.load.BeginAttempt();
+  OutflowWindow& outflow = aCall.serviceRoute->state->Outflow(aChosen.tier);
+  if (aChosen.leaves) {
+    outflow.Begin();
+  }
   record.knownLoad = target.load.Snapshot(record.startedAt);
   this->knownTargets[target.endpoint] = aChosen.target;
   CallTerms terms = aCall.terms;
@@ -157,6 +171,9 @@
     this->links.Get(target.endpoint)
       ->Run(aCall.request, terms, std::move(aPermit), &aCancellation);
   target.load.EndAttempt();
+  if (aChosen.leaves) {
+    outflow.End(OutflowResultOf(aCall, result.outcome), Now());
+  }
   if (result.malformedPart) {
     Log(kPeerAnswerMalformed,
         aCall.record->RequestId(),
@@ -204,6 +221,7 @@
 AttemptRunner::TermsOf(const IngressCall& aCall) const
 {
   const RouteState& routeState = *aCall.route->state;
+  const TimePoint now = Now();
   return {
     EstimatedWork(aCall),
     static_cast<std::int64_t>(aCall.request.body.size() +
@@ -212,6 +230,8 @@
     this->routes.Read(
       [](const RouteTable& aTable) { return aTable.live.placement; }),
     aCall.Regions(),
+    aCall.terms.objective - now,
+    aCall.terms.deadline - now,
   };
 }
 
--- a/src/baobab/node/target_chooser.cpp
+++ b/src/baobab/node/target_chooser.cpp
@@ -2,6 +2,7 @@
 
 #include "baobab/decision/finish_choice.hpp"
 #include "baobab/decision/rendezvous.hpp"
+#include "baobab/decision/tier_choice.hpp"
 
 #include <algorithm>
 #include <array>
@@ -67,6 +68,9 @@
         this->AddCandidates(tier, aTerms, candidates, targets);
       }
     }
+    if (aTerms.placement.objectiveMargin > 0) {
+      this->KeepChosenTier(aTerms, candidates, targets);
+    }
     while (!candidates.empty()) {
       const auto choice = ChooseFirstToFinish(candidates, this->random);
       ChosenTarget& chosen = targets[choice->index];
@@ -82,6 +86,47 @@
     return {};
   }
 
+  /// Decides whether the call leaves its zone or region, and removes the
+  /// candidates of all other tiers.
+  void KeepChosenTier(const ChoiceTerms& aTerms,
+                      std::vector<Candidate>& aCandidates,
+                      std::vector<ChosenTarget>& aTargets)
+  {
+    std::vector<TierOffer> offers;
+    for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+      const Tier tier = aTargets[i].tier;
+      const Duration time = aCandidates[i].expectedTime;
+      if (offers.empty() || offers.back().tier != tier) {
+        const bool nearest = offers.empty();
+        offers.push_back(
+          { tier,
+            time,
+            aCandidates[i].penalty,
+            nearest || this->route.state->Outflow(tier).HasRoom(this->now) });
+      }
+      offers.back().expectedTime = std::min(offers.back().expectedTime, time);
+    }
+    const auto chosen = ChooseTier(offers,
+                                   { aTerms.timeToObjective,
+                                     aTerms.timeToDeadline,
+                                     aTerms.placement.objectiveMargin });
+    if (!chosen) {
+      return;
+    }
+    const bool leaves = *chosen != offers.front().tier;
+    std::vector<Candidate> candidates;
+    std::vector<ChosenTarget> targets;
+    for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+      if (aTargets[i].tier == *chosen) {
+        candidates.push_back(aCandidates[i]);
+        targets.push_back(std::move(aTargets[i]));
+        targets.back().leaves = leaves;
+      }
+    }
+    aCandidates = std::move(candidates);
+    aTargets = std::move(targets);
+  }
+
   /// Reserves an attempt at the target's circuit breaker and, if the target is
   /// in another region, in the call budget. Returns false if either refuses it.
   /// A call that is confined to other regions has no choice, so the budget is
