HTTP server: pipelined requests run side by side

Requests of a connection were served one after another, and the watch for disconnects fired on the bytes of the next request, after which a caller that left was not noticed. Now a further fiber reads the next request when there is input while one runs that others may overlap; a connection without pipelining stays on one fiber. HttpHandler::mayOverlap says which requests may overlap; if unset, they are served one after another as before.

Responses keep their order; an error response waits for its turn; nothing is read behind a request that closes; a caller that leaves ends all requests, also behind bytes that are not read (asked of the socket by the periodic check of the deadlines). Reading and writing have deadlines of their own, so that a slow header does not break off the responses before it. A connection that ends with unread requests lingers, so that a reset does not take the last responses.

--- a/include/baobab/net/http_server.hpp
+++ b/include/baobab/net/http_server.hpp
@@ -101,6 +101,9 @@
   /// Returns the limits for the next request. If unset, the server's limits
   /// apply.
   std::function<HttpLimits()> limits = nullptr;
+  /// Returns true if a request may run beside others of its connection. If
+  /// unset, each one is answered before the next is read.
+  std::function<bool(const HttpHead&)> mayOverlap = nullptr;
 };
 
 /// Connection counts of a server and its shutdown state.
--- a/include/baobab/net/socket.hpp
+++ b/include/baobab/net/socket.hpp
@@ -40,6 +40,18 @@
 /// response, or is idle in a pool, may never report an error.
 void EnableDeadPeerDetection(Tcp::socket& aSocket);
 
+/// What a connection holds for the reader.
+enum class Input : std::uint8_t
+{
+  None,
+  Data,
+  /// The peer has closed or reset the connection, perhaps behind unread data.
+  Ended,
+};
+
+/// Returns what a connection holds, without reading it.
+Input CheckInput(Tcp::socket& aSocket);
+
 /// True if the peer has closed the connection or the connection has failed.
 bool IsDisconnected(Tcp::socket& aSocket);
 
--- a/src/baobab/net/http_convert.cpp
+++ b/src/baobab/net/http_convert.cpp
@@ -4,8 +4,18 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace baobab {
+namespace {
+
+std::string_view
+ToStringView(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+}
 
 bool
 IsHopByHop(std::string_view aName)
@@ -29,4 +39,44 @@
          aStatus == kNotModified || aStatus < 200;
 }
 
+HttpHead
+HeadOf(const http::request<http::string_body>& aMessage)
+{
+  return { ToStringView(aMessage.method_string()),
+           ToStringView(aMessage.target()),
+           WithoutPort(ToStringView(aMessage[http::field::host])) };
+}
+
+Request
+ToRequest(http::request<http::string_body>&& aMessage)
+{
+  return { "",
+           std::string(ToStringView(aMessage.method_string())),
+           std::string(ToStringView(aMessage.target())),
+           EndToEndHeaders(aMessage),
+           std::move(aMessage.body()) };
+}
+
+http::response<http::string_body>
+ToMessage(Response aResponse,
+          std::string_view aMethod,
+          unsigned aVersion,
+          bool aKeepAlive)
+{
+  http::response<http::string_body> message;
+  message.version(aVersion);
+  message.result(aResponse.status);
+  for (const HeaderField& field : aResponse.headers) {
+    message.insert(field.name, field.value);
+  }
+  message.keep_alive(aKeepAlive);
+  if (!HasNoBody(aMethod, aResponse.status)) {
+    message.body() = std::move(aResponse.body);
+    message.content_length(message.body().size());
+  } else if (aMethod == "HEAD") {
+    message.content_length(aResponse.body.size());
+  }
+  return message;
+}
+
 }
--- a/src/baobab/net/http_convert.hpp
+++ b/src/baobab/net/http_convert.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "baobab/core/http_message.hpp"
+#include "baobab/net/http_server.hpp"
 
 #include <boost/beast/http.hpp>
 
@@ -34,4 +35,16 @@
 /// True if a response to a method with a status has no body.
 bool HasNoBody(std::string_view aMethod, unsigned aStatus);
 
+/// Returns the head of a request, which refers to the message.
+HttpHead HeadOf(const http::request<http::string_body>& aMessage);
+
+/// Returns a request without its hop-by-hop headers.
+Request ToRequest(http::request<http::string_body>&& aMessage);
+
+/// Returns the message of a response to a method, for a version of HTTP.
+http::response<http::string_body> ToMessage(Response aResponse,
+                                            std::string_view aMethod,
+                                            unsigned aVersion,
+                                            bool aKeepAlive);
+
 }
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -1,74 +1,38 @@
 #include "baobab/net/http_server.hpp"
-#include "baobab/core/http_syntax.hpp"
-#include "baobab/net/clock.hpp"
 
 #include "baobab/net/accept.hpp"
 #include "baobab/net/worker.hpp"
+#include "http_channel.hpp"
 #include "http_convert.hpp"
+#include "http_read_error.hpp"
+#include "open_connections.hpp"
+#include "request_turns.hpp"
 
-#include <algorithm>
-#include <boost/beast/core.hpp>
-#include <boost/fiber/operations.hpp>
-#include <unordered_set>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/string.hpp>
 #include <utility>
 
 namespace baobab {
 namespace {
 
+namespace asio = boost::asio;
 namespace beast = boost::beast;
 
 using Parser = http::request_parser<http::string_body>;
 
-constexpr std::size_t kReadBytes = 4096;
+using Ticket = PipelineOrder::Ticket;
 
-/// Bytes that are buffered at most: the largest head that can be configured,
-/// and as much as is read at once. A chunk extension has no other limit.
-constexpr std::size_t kMaxBufferBytes = (1U << 20U) + (128U << 10U);
-
-/// Bytes that are still read from a client after an error response, so that it
-/// can read the response before the connection is closed.
-constexpr std::size_t kLingerBytes = 1 << 20;
-constexpr Duration kLingerTime = 1s;
-
-std::string_view
-ToStringView(beast::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
-HttpRequestError
-RequestErrorOf(const beast::error_code& aError)
-{
-  if (aError == http::error::body_limit) {
-    return HttpRequestError::BodyTooLarge;
-  }
-  if (aError == http::error::header_limit) {
-    return HttpRequestError::HeaderTooLarge;
-  }
-  return HttpRequestError::Malformed;
-}
-
-/// True if a request could not be read because the client has disconnected,
-/// and not because the request is invalid or timed out.
-bool
-IsDisconnect(const beast::error_code& aError)
-{
-  return aError == http::error::end_of_stream ||
-         aError == http::error::partial_message ||
-         (aError.category() !=
-            http::make_error_code(http::error::bad_method).category() &&
-          aError != beast::error::timeout);
-}
-
-/// One connection, served on its own fiber.
-class Connection
+/// One connection. It is served on one fiber, which reads a request, handles it
+/// and writes the response. While a request runs that others may overlap, the
+/// next one is read on a further fiber as soon as there is something to read.
+class Connection : public std::enable_shared_from_this<Connection>
 {
 public:
   Connection(Tcp::socket aSocket,
              const HttpLimits& aLimits,
              const HttpHandler& aHandler,
              HttpServerState& aState)
-    : stream(std::move(aSocket))
+    : channel(std::move(aSocket))
     , serverLimits(aLimits)
     , limits(aLimits)
     , handler(aHandler)
@@ -76,34 +40,65 @@
   {
   }
 
-  void Run()
+  /// Starts a fiber that reads the next request.
+  void SpawnReader()
   {
-    while (this->WaitForRequest() && this->ServeRequest()) {
-    }
-    beast::error_code error;
-    this->stream.shutdown(Tcp::socket::shutdown_both, error);
-    this->stream.close(error);
+    this->order.StartRead();
+    Spawn([self = this->shared_from_this()] { self->Run(); });
   }
 
-  /// Cancels the current operation if its deadline has passed, or if the
-  /// connection is idle while the server stops keep-alive.
+  /// Cancels the operations whose deadline has passed, and the reading of an
+  /// idle connection while the server stops keep-alive.
   void CheckDeadline(TimePoint aNow)
   {
-    if (aNow >= this->deadline ||
-        (this->idle && this->state.KeepAliveStopped())) {
-      this->deadline = TimePoint::max();
-      this->timedOut = true;
-      this->stream.cancel();
+    this->channel.CheckDeadlines(aNow);
+    if (this->idle && this->state.KeepAliveStopped()) {
+      this->channel.ExpireRead();
+    }
+    // Unread data hides the end of the connection from everything else.
+    if (!this->order.Empty() && !this->order.Withdrawn() && !this->watching &&
+        !this->channel.Reading() &&
+        CheckInput(this->channel.Stream()) == Input::Ended) {
+      this->Leave();
     }
   }
 
-  TimePoint Deadline() const { return this->deadline; }
+  TimePoint Deadline() const { return this->channel.Deadline(); }
 
 private:
-  void SetDeadline(Duration aTime)
+  /// Reads and answers requests until another fiber reads or the connection
+  /// ends.
+  void Run()
   {
-    this->deadline = Now() + aTime;
-    this->timedOut = false;
+    while (this->ServeRequest() && this->TakeOverReading()) {
+    }
+    if (this->order.Empty() && !this->order.Reading() &&
+        (this->refused || this->HasUnread())) {
+      this->channel.Linger();
+    }
+  }
+
+  /// True if the caller has sent more than was read, and has not left.
+  bool HasUnread()
+  {
+    return !this->order.Withdrawn() &&
+           (this->channel.Buffer().size() > 0 ||
+            CheckInput(this->channel.Stream()) == Input::Data);
+  }
+
+  /// Decides whether the fiber that has answered a request reads the next one.
+  bool TakeOverReading()
+  {
+    if (this->state.KeepAliveStopped() || !this->order.MayRead()) {
+      return false;
+    }
+    if (this->order.Empty()) {
+      this->StopWatching();
+    } else if (this->watching && this->channel.Buffer().size() == 0) {
+      return false;
+    }
+    this->order.StartRead();
+    return true;
   }
 
   bool WaitForRequest()
@@ -113,56 +108,67 @@
     }
     this->limits =
       this->handler.limits ? this->handler.limits() : this->serverLimits;
-    if (this->buffer.size() > 0) {
+    if (this->channel.Buffer().size() > 0) {
       return true;
     }
-    this->SetDeadline(this->limits.idleTimeout);
+    this->channel.SetReadDeadline(this->limits.idleTimeout);
     this->idle = true;
-    const IoResult result = Await([&](auto aHandler) {
-      this->stream.async_read_some(this->buffer.prepare(kReadBytes), aHandler);
-    });
+    const IoResult result = this->channel.ReadSome(this->order.Empty());
     this->idle = false;
-    this->buffer.commit(result.bytes);
-    return static_cast<bool>(result);
+    return static_cast<bool>(result) || this->EndReading();
   }
 
   bool ServeRequest()
   {
+    if (!this->WaitForRequest()) {
+      this->order.EndRead();
+      return false;
+    }
     Parser parser;
     parser.header_limit(
       static_cast<std::uint32_t>(this->limits.maxHeaderBytes));
     parser.body_limit(boost::none);
-    this->SetDeadline(this->limits.headerTimeout);
-    IoResult result = Await([&](auto aHandler) {
-      http::async_read_header(this->stream, this->buffer, parser, aHandler);
-    });
+    this->channel.SetReadDeadline(this->limits.headerTimeout);
+    IoResult result =
+      this->channel.Read(this->order.Empty(), [&](auto aHandler) {
+        http::async_read_header(
+          this->channel.Stream(), this->channel.Buffer(), parser, aHandler);
+      });
     if (!result) {
       return this->RejectRequest(result.error);
     }
     if (!this->PrepareBody(parser)) {
       return false;
     }
-    this->SetDeadline(this->limits.bodyTimeout);
+    this->channel.SetReadDeadline(this->limits.bodyTimeout);
     if (!parser.is_done()) {
-      result = Await([&](auto aHandler) {
-        http::async_read(this->stream, this->buffer, parser, aHandler);
+      result = this->channel.Read(this->order.Empty(), [&](auto aHandler) {
+        http::async_read(
+          this->channel.Stream(), this->channel.Buffer(), parser, aHandler);
       });
       if (!result) {
         return this->RejectRequest(result.error);
       }
     }
-    this->deadline = TimePoint::max();
+    this->channel.ClearReadDeadline();
     return this->HandleRequest(parser.release());
   }
 
+  /// Ends reading after a disconnect or timeout.
+  bool EndReading()
+  {
+    if (!this->channel.TimedOut() && !this->order.Empty()) {
+      this->Leave();
+    }
+    this->order.EndRead();
+    return false;
+  }
+
   /// Applies the body limit and responds to `Expect: 100-continue`.
   bool PrepareBody(Parser& aParser)
   {
     const auto& head = aParser.get();
-    const std::size_t limit = this->handler.maxBodyBytes(
-      { ToStringView(head.method_string()),
-        ToStringView(head.target()),
-        WithoutPort(ToStringView(head[http::field::host])) });
+    const std::size_t limit = this->handler.maxBodyBytes(HeadOf(head));
     const auto length = aParser.content_length();
     if (length && *length > limit) {
       this->RejectRequest(http::error::body_limit);
@@ -172,54 +178,134 @@
     if (!beast::iequals(head[http::field::expect], "100-continue")) {
       return true;
     }
-    http::response<http::empty_body> continueResponse{ http::status::continue_,
-                                                       head.version() };
-    return static_cast<bool>(Await([&](auto aHandler) {
-      http::async_write(this->stream, continueResponse, aHandler);
-    }));
+    return this->WriteContinue(head.version()) || this->EndReading();
+  }
+
+  /// Asks the client for the body, once all requests before are answered.
+  bool WriteContinue(unsigned aVersion)
+  {
+    this->channel.ClearReadDeadline();
+    if (!this->turns.AwaitEmpty()) {
+      return false;
+    }
+    const http::response<http::empty_body> message{ http::status::continue_,
+                                                    aVersion };
+    return static_cast<bool>(
+      this->channel.Write(message, this->limits.bodyTimeout));
   }
 
+  /// Returns true if the connection may carry another request.
   bool HandleRequest(http::request<http::string_body> aMessage)
   {
     if (this->state.KeepAliveStopped()) {
       return this->Refuse(HttpRequestError::Stopping);
     }
-    const bool keepAlive = aMessage.keep_alive();
-    const unsigned version = aMessage.version();
-    Request request{ "",
-                     std::string(ToStringView(aMessage.method_string())),
-                     std::string(ToStringView(aMessage.target())),
-                     EndToEndHeaders(aMessage),
-                     std::move(aMessage.body()) };
-    const std::string method = request.method;
+    const bool overlaps =
+      this->handler.mayOverlap && this->handler.mayOverlap(HeadOf(aMessage));
+    const Ticket ticket = this->order.Admit(
+      { overlaps, !aMessage.keep_alive(), aMessage.body().size() });
     ++this->state.activeRequests;
-    const auto notifier = this->WatchForDisconnect();
-    Response response =
-      this->handler.handleRequest(std::move(request), *notifier);
-    notifier->Finish();
-    beast::error_code ignored;
-    this->stream.cancel(ignored);
-    const bool written =
-      this->Write(std::move(response),
-                  method,
-                  version,
-                  keepAlive && !this->state.KeepAliveStopped());
+    const bool answered = this->turns.AwaitStart(ticket) &&
+                          this->Answer(ticket, std::move(aMessage));
     --this->state.activeRequests;
-    return written && keepAlive && !this->state.KeepAliveStopped();
+    this->turns.Remove(ticket);
+    return answered;
   }
 
-  /// Notifies the handler if the caller disconnects during the request.
-  std::shared_ptr<DisconnectNotifier> WatchForDisconnect()
+  bool Answer(Ticket aTicket, http::request<http::string_body> aMessage)
   {
-    auto notifier = std::make_shared<DisconnectNotifier>();
-    this->stream.async_wait(
-      Tcp::socket::wait_read, [this, notifier](beast::error_code aError) {
-        // Once the request is finished, the connection may be destroyed.
-        if (!aError && !notifier->Finished() && IsDisconnected(this->stream)) {
-          notifier->NotifyDisconnect();
+    const unsigned version = aMessage.version();
+    Request request = ToRequest(std::move(aMessage));
+    const std::string method = request.method;
+    DisconnectNotifier caller;
+    this->turns.AddCaller(caller);
+    this->ReadOrWatch();
+    Response response = this->handler.handleRequest(std::move(request), caller);
+    caller.Finish();
+    this->turns.RemoveCaller(caller);
+    if (this->order.Size() == 1 && !this->order.Reading()) {
+      this->StopWatching();
+    }
+    this->order.SetHeldBytes(aTicket, response.body.size());
+    if (!this->turns.AwaitWrite(aTicket)) {
+      return false;
+    }
+    const bool ends =
+      this->order.EndsAfter(aTicket, this->state.KeepAliveStopped());
+    if (!this->Write(std::move(response), method, version, !ends)) {
+      this->order.Break();
+      this->Leave();
+      return false;
+    }
+    return !ends;
+  }
+
+  /// Reads the next request if a part of it is there and it may be read.
+  /// Otherwise waits for it, or for the caller's disconnect.
+  void ReadOrWatch()
+  {
+    if (this->channel.Buffer().size() > 0 && this->order.MayRead() &&
+        !this->state.KeepAliveStopped()) {
+      this->SpawnReader();
+    } else if (!this->watching) {
+      this->Watch();
+    }
+  }
+
+  void Watch()
+  {
+    this->watching = true;
+    this->channel.Stream().async_wait(
+      Tcp::socket::wait_read,
+      [weak = this->weak_from_this(),
+       watch = ++this->watchNumber](beast::error_code aError) {
+        const auto self = weak.lock();
+        if (!aError && self && self->watching && self->watchNumber == watch) {
+          self->watching = false;
+          self->HandleInput();
         }
       });
-    return notifier;
+  }
+
+  void StopWatching()
+  {
+    this->watching = false;
+    beast::error_code ignored;
+    this->channel.Stream().cancel(ignored);
+  }
+
+  void HandleInput()
+  {
+    if (this->order.Empty() || this->order.Reading()) {
+      return;
+    }
+    switch (CheckInput(this->channel.Stream())) {
+      case Input::None:
+        this->Watch();
+        break;
+      case Input::Ended:
+        this->turns.Withdraw();
+        this->turns.NotifyCallers();
+        break;
+      case Input::Data:
+        if (this->order.MayRead() && !this->state.KeepAliveStopped()) {
+          this->SpawnReader();
+        }
+        break;
+    }
+  }
+
+  /// Ends all requests of a caller that has disconnected.
+  void Leave()
+  {
+    this->turns.Withdraw();
+    // The notified functions must not suspend the fiber that has found it out.
+    asio::post(this->channel.Stream().get_executor(),
+               [weak = this->weak_from_this()] {
+                 if (const auto self = weak.lock()) {
+                   self->turns.NotifyCallers();
+                 }
+               });
   }
 
   bool Write(Response aResponse,
@@ -227,109 +313,53 @@
              unsigned aVersion,
              bool aKeepAlive)
   {
-    http::response<http::string_body> message;
-    message.version(aVersion);
-    message.result(aResponse.status);
-    for (const HeaderField& field : aResponse.headers) {
-      message.insert(field.name, field.value);
-    }
-    message.keep_alive(aKeepAlive);
-    if (!HasNoBody(aMethod, aResponse.status)) {
-      message.body() = std::move(aResponse.body);
-      message.content_length(message.body().size());
-    } else if (aMethod == "HEAD") {
-      message.content_length(aResponse.body.size());
-    }
-    this->SetDeadline(this->limits.bodyTimeout);
-    http::response_serializer<http::string_body> serializer(message);
-    const IoResult result = Await([&](auto aHandler) {
-      http::async_write(this->stream, serializer, aHandler);
-    });
-    return static_cast<bool>(result);
+    const auto message =
+      ToMessage(std::move(aResponse), aMethod, aVersion, aKeepAlive);
+    return static_cast<bool>(
+      this->channel.Write(message, this->limits.bodyTimeout));
   }
 
   bool RejectRequest(const beast::error_code& aError)
   {
-    const bool isTimeout = std::exchange(this->timedOut, false);
-    if (!isTimeout && IsDisconnect(aError)) {
-      return false;
+    const bool timedOut = this->channel.TimedOut();
+    if (!timedOut && IsDisconnect(aError)) {
+      return this->EndReading();
     }
-    return this->Refuse(isTimeout ? HttpRequestError::TimedOut
-                                  : RequestErrorOf(aError));
+    return this->Refuse(timedOut ? HttpRequestError::TimedOut
+                                 : RequestErrorOf(aError));
   }
 
-  /// Responds with an error and ends the connection.
+  /// Responds with an error, after all requests before are answered, and ends
+  /// the connection.
   bool Refuse(HttpRequestError aError)
   {
     constexpr unsigned kHttp11 = 11;
-    this->Write(this->handler.handleError(aError), "GET", kHttp11, false);
-    this->Linger();
-    return false;
-  }
-
-  /// Discards what the client still sends. Closing the connection with unread
-  /// data would reset it before the client has read the response.
-  void Linger()
-  {
-    beast::error_code error;
-    this->stream.shutdown(Tcp::socket::shutdown_send, error);
-    this->SetDeadline(kLingerTime);
-    std::size_t discarded = 0;
-    while (discarded < kLingerBytes) {
-      this->buffer.clear();
-      const IoResult result = Await([&](auto aHandler) {
-        this->stream.async_read_some(this->buffer.prepare(kReadBytes),
-                                     aHandler);
-      });
-      if (!result) {
-        return;
-      }
-      discarded += result.bytes;
+    this->channel.ClearReadDeadline();
+    const Ticket ticket = this->order.Admit({ false, true });
+    if (this->turns.AwaitStart(ticket)) {
+      this->refused = true;
+      this->Write(this->handler.handleError(aError), "GET", kHttp11, false);
     }
+    this->turns.Remove(ticket);
+    return false;
   }
 
-  Tcp::socket stream;
-  beast::flat_buffer buffer{ kMaxBufferBytes };
+  HttpChannel channel;
   const HttpLimits& serverLimits;
   HttpLimits limits;
   const HttpHandler& handler;
   HttpServerState& state;
-  TimePoint deadline = TimePoint::max();
-  bool timedOut = false;
+  RequestTurns turns;
+  PipelineOrder& order = this->turns.Order();
+  /// Identifies the last start of Watch.
+  std::uint64_t watchNumber = 0;
+  /// True while the connection is watched for input.
+  bool watching = false;
   bool idle = false;
+  /// True if the connection ends with an error response.
+  bool refused = false;
 };
 
-/// Open connections of a server, for checking their deadlines.
-struct Connections
-{
-  std::unordered_set<Connection*> open;
-  /// True while connections are accepted.
-  bool accepting = true;
-};
-
-/// Checks the deadlines of all connections until the last one is closed. One
-/// timer for all of them is cheaper than one for each request.
-void
-RunDeadlineChecks(const std::shared_ptr<const Connections>& aConnections)
-{
-  // A new connection may be checked late by the longest period.
-  constexpr Duration kShortestPeriod = 50ms;
-  constexpr Duration kLongestPeriod = 200ms;
-  while (aConnections->accepting || !aConnections->open.empty()) {
-    TimePoint next = TimePoint::max();
-    for (const Connection* connection : aConnections->open) {
-      next = std::min(next, connection->Deadline());
-    }
-    const TimePoint before = Now();
-    boost::this_fiber::sleep_until(
-      std::clamp(next, before + kShortestPeriod, before + kLongestPeriod));
-    const TimePoint now = Now();
-    std::ranges::for_each(aConnections->open, [&](Connection* aConnection) {
-      aConnection->CheckDeadline(now);
-    });
-  }
-}
-
 }
 
 void
@@ -338,51 +368,28 @@
           const HttpHandler& aHandler,
           HttpServerState& aState)
 {
-  const auto connections = std::make_shared<Connections>();
+  const auto connections = std::make_shared<OpenConnections<Connection>>();
   // Shared, because the checks may run a little longer than this function.
-  Spawn([connections] { RunDeadlineChecks(connections); });
+  Spawn([connections] { RunDeadlineChecks<Connection>(connections); });
   AcceptConnections(aAcceptor, [&](Tcp::socket aSocket) {
     if (aState.Full()) {
       return;
     }
     beast::error_code error;
     aSocket.set_option(Tcp::no_delay(true), error);
-    auto connection = std::make_unique<Connection>(
-      std::move(aSocket), aLimits, aHandler, aState);
+    const std::shared_ptr<Connection> connection(
+      new Connection(std::move(aSocket), aLimits, aHandler, aState),
+      [connections, &aState](Connection* aClosed) {
+        connections->open.erase(aClosed);
+        --aState.openConnections;
+        delete aClosed;
+      });
     ++aState.openConnections;
     ++aState.acceptedConnections;
     connections->open.insert(connection.get());
-    Spawn([connection = std::move(connection), connections, &aState] {
-      connection->Run();
-      connections->open.erase(connection.get());
-      --aState.openConnections;
-    });
+    connection->SpawnReader();
   });
   connections->accepting = false;
 }
 
-std::string_view
-FindHeader(const std::vector<HeaderField>& aHeaders, std::string_view aName)
-{
-  const auto found =
-    std::ranges::find_if(aHeaders, [&](const HeaderField& aField) {
-      return SameHeaderName(aField.name, aName);
-    });
-  return found == aHeaders.end() ? std::string_view() : found->value;
-}
-
-std::string_view
-WithoutPort(std::string_view aHost)
-{
-  return aHost.substr(0, aHost.find(':'));
-}
-
-Response
-TextResponse(unsigned aStatus, std::string aBody, std::string_view aType)
-{
-  return { aStatus,
-           { { "Content-Type", std::string(aType) } },
-           std::move(aBody) };
-}
-
 }
--- a/src/baobab/net/socket.cpp
+++ b/src/baobab/net/socket.cpp
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace baobab {
@@ -113,6 +114,16 @@
   aSocket.set_option(TcpInteger<TCP_USER_TIMEOUT>(kUnacknowledgedMs), ignored);
 }
 
+Input
+CheckInput(Tcp::socket& aSocket)
+{
+  ::pollfd state{ aSocket.native_handle(), POLLIN | POLLRDHUP, 0 };
+  if (::poll(&state, 1, 0) <= 0) {
+    return Input::None;
+  }
+  return (state.revents & POLLIN) == state.revents ? Input::Data : Input::Ended;
+}
+
 bool
 IsDisconnected(Tcp::socket& aSocket)
 {
