Ingress: requests of idempotent routes overlap; integration test; docs

GET and HEAD where the method decides. Routes with large answers do not overlap, since the answers are held until those before them are written.

--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -32,6 +32,25 @@
   return WithoutPort(FindHeader(aRequest.headers, "Host"));
 }
 
+/// True if a request may run beside others of its connection: it may be
+/// repeated, and the answers that wait for those before them are small.
+bool
+MayOverlap(const Route& aRoute, const HttpHead& aHead)
+{
+  switch (aRoute.spec.kind) {
+    case RouteKind::Idempotent:
+      return true;
+    case RouteKind::ByMethod:
+      return (aHead.method == "GET" || aHead.method == "HEAD") &&
+             IsIdempotent(
+               aRoute.spec, aRoute.owner->spec, aHead.method, aHead.target);
+    case RouteKind::NonIdempotent:
+    case RouteKind::Download:
+      break;
+  }
+  return false;
+}
+
 CallClass
 ClassOf(const Outcome& aOutcome, const IngressCall& aCall, Duration aLatency)
 {
@@ -104,6 +123,12 @@
       return MarkNotRun(InvalidRequestResponse(aError));
     },
     [this] { return this->Limits(); },
+    [this](const HttpHead& aHead) {
+      return this->routes.Read([&](const RouteTable& aTable) {
+        const auto route = aTable.FindRoute(aHead.host, aHead.target);
+        return route && MayOverlap(*route, aHead);
+      });
+    },
   };
 }
 
