--- a/src/baobab/net/http_pipeline_test.cpp
+++ b/src/baobab/net/http_pipeline_test.cpp
@@ -1,3 +1,4 @@
+#include "baobab/core/random.hpp"
 #include "baobab/decision/pipeline_order.hpp"
 #include "baobab/net/clock.hpp"
 #include "baobab/net/fiber_event.hpp"
@@ -442,6 +443,68 @@
   BOOST_TEST(server.started.size() == 1U);
 }
 
+/// Answers are a prefix of the requests in their order; requests that may not
+/// be repeated run alone; nothing runs behind a closing request.
+BOOST_AUTO_TEST_CASE(random_pipelines_keep_the_order)
+{
+  SplitMix random(1);
+  const auto draw = [&](int aCount) {
+    return static_cast<int>(UniformFraction(random) * aCount);
+  };
+  for (int round = 0; round < 100; ++round) {
+    TestServer server;
+    int running = 0;
+    bool runsAlone = false;
+    int closing = 1000;
+    server.handler.mayOverlap = [](const HttpHead& aHead) {
+      return aHead.method == "GET";
+    };
+    server.handler.handleRequest = [&](Request&& aRequest,
+                                       DisconnectNotifier& aNotifier) {
+      const bool alone = aRequest.method != "GET";
+      BOOST_TEST(!runsAlone);
+      BOOST_TEST((!alone || running == 0));
+      BOOST_TEST(NumberOf(aRequest) <= closing);
+      ++running;
+      runsAlone = alone;
+      FiberEvent left;
+      aNotifier.OnDisconnect([&] { left.Notify(); });
+      left.WaitUntil(Now() + draw(3) * 1ms);
+      aNotifier.OnDisconnect(nullptr);
+      runsAlone = false;
+      --running;
+      return TextResponse(200, std::to_string(NumberOf(aRequest)) + ";");
+    };
+    server.Run([&](Tcp::socket& aCaller) {
+      std::string expected;
+      std::string requests;
+      const int count = 1 + draw(12);
+      for (int i = 1; i <= count; ++i) {
+        const bool closes = closing == 1000 && (i == count || draw(20) == 0);
+        requests += draw(4) == 0 && !closes
+                      ? Post(i)
+                      : Get(i, closes ? "Connection: close\r\n" : "");
+        closing = closes ? i : closing;
+        expected += i <= closing ? std::to_string(i) + ";" : "";
+      }
+      for (std::size_t sent = 0; sent < requests.size();) {
+        const std::string part = requests.substr(sent, 1 + draw(300));
+        SendText(aCaller, part);
+        sent += part.size();
+        boost::this_fiber::sleep_for(draw(2) * 1ms);
+      }
+      if (draw(3) == 0) {
+        aCaller.close();
+        PipelineServer::WaitUntil(
+          [&] { return server.state.ActiveRequests() == 0; });
+        return;
+      }
+      BOOST_TEST(BodiesOf(ReadAll(aCaller)) == expected);
+    });
+    BOOST_TEST(running == 0);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
