--- a/src/baobab/net/http_channel.cpp
+++ b/src/baobab/net/http_channel.cpp
@@ -62,6 +62,12 @@
 {
   this->readDeadline = TimePoint::max();
   this->timedOut = true;
+  this->CancelRead();
+}
+
+void
+HttpChannel::CancelRead()
+{
   if (this->readsAlone) {
     this->stream.cancel();
   } else {
--- a/src/baobab/net/http_channel.hpp
+++ b/src/baobab/net/http_channel.hpp
@@ -81,6 +81,9 @@
   /// Cancels the operations whose deadline has passed.
   void CheckDeadlines(TimePoint aNow);
 
+  /// Cancels reading, but not what another fiber writes.
+  void CancelRead();
+
   /// Cancels reading as if its deadline had passed.
   void ExpireRead();
 
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -269,9 +269,10 @@
 
   void StopWatching()
   {
-    this->watching = false;
-    beast::error_code ignored;
-    this->channel.Stream().cancel(ignored);
+    if (std::exchange(this->watching, false)) {
+      beast::error_code ignored;
+      this->channel.Stream().cancel(ignored);
+    }
   }
 
   void HandleInput()
