--- a/src/baobab/net/http_pipeline_test.cpp
+++ b/src/baobab/net/http_pipeline_test.cpp
@@ -390,6 +390,30 @@
   BOOST_TEST((error == HttpRequestError::TimedOut));
 }
 
+/// The same while the answer is being written.
+BOOST_AUTO_TEST_CASE(a_slow_request_does_not_break_the_write_before_it)
+{
+  constexpr std::size_t kLarge = 32U << 20U;
+  PipelineServer server;
+  server.limits.headerTimeout = 100ms;
+  server.handler.handleRequest = [&](Request&&, DisconnectNotifier&) {
+    return TextResponse(200, std::string(kLarge, 'x') + ";");
+  };
+  bool refused = false;
+  server.handler.handleError = [&](HttpRequestError) {
+    refused = true;
+    return TextResponse(408, "slow;");
+  };
+  server.Run([&](Tcp::socket& aCaller) {
+    SendText(aCaller, Get(1) + "GET /2 HT");
+    boost::this_fiber::sleep_for(400ms);
+    BOOST_TEST(!refused);
+    const std::string answers = ReadAll(aCaller);
+    BOOST_TEST(answers.size() > kLarge);
+    BOOST_TEST(answers.ends_with("slow;"));
+  });
+}
+
 /// A request in progress has no header to wait for.
 BOOST_AUTO_TEST_CASE(the_time_of_a_request_does_not_count_for_the_next_header)
 {
@@ -438,7 +462,9 @@
     server.Open();
     BOOST_TEST(server.WaitEnded(1));
     boost::this_fiber::sleep_for(kQuietTime);
-    BOOST_TEST(BodiesOf(ReadAll(aCaller)) == "1;");
+    boost::system::error_code end;
+    BOOST_TEST(BodiesOf(ReadAll(aCaller, &end)) == "1;");
+    BOOST_TEST(end == boost::asio::error::eof);
   });
   BOOST_TEST(server.started.size() == 1U);
 }
--- a/src/baobab/net/http_test_server.hpp
+++ b/src/baobab/net/http_test_server.hpp
@@ -55,8 +55,9 @@
 }
 
 /// Reads until the other end closes the connection.
+/// @param aEnd receives how the connection ended, if set
 inline std::string
-ReadAll(Tcp::socket& aSocket)
+ReadAll(Tcp::socket& aSocket, boost::system::error_code* aEnd = nullptr)
 {
   std::string text;
   char bytes[4096];
@@ -65,6 +66,9 @@
       aSocket.async_read_some(boost::asio::buffer(bytes), aHandler);
     });
     if (!read) {
+      if (aEnd != nullptr) {
+        *aEnd = read.error;
+      }
       return text;
     }
     text.append(bytes, read.bytes);
