--- a/src/baobab/net/http_pipeline_test.cpp
+++ b/src/baobab/net/http_pipeline_test.cpp
@@ -80,7 +80,8 @@
       aNotifier.OnDisconnect(nullptr);
       this->notified += aNotifier.Disconnected() ? 1 : 0;
       ++this->ended;
-      return TextResponse(200, std::to_string(number) + ";");
+      return TextResponse(
+        200, std::to_string(number) + ";" + std::string(this->padding, 'x'));
     };
     this->handler.handleError = [](HttpRequestError aError) {
       return TextResponse(aError == HttpRequestError::Stopping ? 503 : 400,
@@ -133,6 +134,8 @@
   int notified = 0;
   int mostRunning = 0;
   bool open = false;
+  /// Bytes that are added to each answer.
+  std::size_t padding = 0;
   std::map<int, FiberEvent> events;
 };
 
@@ -450,20 +453,19 @@
   });
 }
 
-/// A reset on close would take the answers before it from the caller.
+/// A reset on close would take what was not sent yet from the caller.
 BOOST_AUTO_TEST_CASE(requests_behind_a_closing_one_do_not_reset_the_connection)
 {
   PipelineServer server;
+  server.padding = 16U << 20U;
   server.Run([&](Tcp::socket& aCaller) {
     SendText(aCaller, Get(1, "Connection: close\r\n"));
     BOOST_TEST(server.WaitStarted(1));
     SendText(aCaller, Get(2) + Get(3));
     boost::this_fiber::sleep_for(10ms);
     server.Open();
-    BOOST_TEST(server.WaitEnded(1));
-    boost::this_fiber::sleep_for(kQuietTime);
     boost::system::error_code end;
-    BOOST_TEST(BodiesOf(ReadAll(aCaller, &end)) == "1;");
+    BOOST_TEST(ReadAll(aCaller, &end).size() > server.padding);
     BOOST_TEST(end == boost::asio::error::eof);
   });
   BOOST_TEST(server.started.size() == 1U);
