Requests of callers stay within the memory of the process

Cause: every body was held in full, however many arrived at once, and the kernel held what had not been read besides.

A ledger of the process counts what messages hold; 'memory.limit_mb' sets its bounds (0: none, nothing changes). A body takes its bytes from the ledger before they are read. If there are none left, an unfinished body of the thread gives way: one that stalls, else the least complete, else the newest. It is refused with 503, Retry-After and the mark of a request that was not run. Chunk headers and trailers are bounded by the size of a head, connections by half of the ledger.

--- a/include/baobab/core/http_message.hpp
+++ b/include/baobab/core/http_message.hpp
@@ -2,6 +2,8 @@
 /// HTTP messages with complete bodies.
 #pragma once
 
+#include "baobab/core/memory_ledger.hpp"
+
 #include <string>
 #include <vector>
 
@@ -25,6 +27,7 @@
   std::string target;
   std::vector<HeaderField> headers;
   std::string body;
+  HeldMemory held{};
 
   bool operator==(const Request&) const = default;
 };
@@ -35,6 +38,7 @@
   unsigned status = 0;
   std::vector<HeaderField> headers;
   std::string body;
+  HeldMemory held{};
 
   bool operator==(const Response&) const = default;
 };
--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -182,6 +182,8 @@
   std::int64_t headerBytes = 16384;
   /// Rate of the host's network link in Mbit/s; 0: not known.
   double linkMbps = 0;
+  /// Memory in MB that the process may use; 0: not known.
+  double memoryLimitMb = 0;
   std::string logFormat = "json";
   std::string logLevel = "info";
   Timeouts timeouts;
--- a/include/baobab/net/http_server.hpp
+++ b/include/baobab/net/http_server.hpp
@@ -15,6 +15,9 @@
 
 namespace baobab {
 
+/// Bytes that a connection without a request holds: its fiber and its buffer.
+constexpr std::size_t kConnectionBytes = 32U << 10U;
+
 /// Limits of a connection. The body timeout also applies to writing a response.
 struct HttpLimits
 {
@@ -42,6 +45,8 @@
   TimedOut,
   /// The request was complete only after the server had begun to stop.
   Stopping,
+  /// The process has no memory left for the body.
+  OutOfMemory,
 };
 
 /// Notifies a request handler when the caller closes its connection.
--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -485,6 +485,18 @@
     LogField{ "generation", "generation of the configuration in effect" } }
 };
 
+inline constexpr LogEvent kOutOfMemory{
+  "out_of_memory",
+  "daemon",
+  LogLevel::Warning,
+  LogDropPolicy::DropFirst,
+  "A request was refused, or an answer was discarded, because the process has "
+  "no memory left for it.",
+  std::array{ LogField{ "part", "requests, calls or answers" },
+              LogField{ "part_bytes", "bytes that this part holds" },
+              LogField{ "total_bytes", "bytes that all parts hold" } }
+};
+
 inline constexpr LogEvent kSecondSent{
   "second_sent",
   "ingress",
--- a/include/baobab/net/socket.hpp
+++ b/include/baobab/net/socket.hpp
@@ -35,6 +35,13 @@
                             Duration aTimeout,
                             std::uint32_t aLocalAddress = 0);
 
+/// Bytes that a connection may receive before they are read, if the memory of
+/// the process is limited.
+constexpr std::size_t kReceiveBufferBytes = 128U << 10U;
+
+/// Limits what a connection may receive before it is read.
+void LimitReceiveBuffer(Tcp::socket& aSocket);
+
 /// Makes a connection fail within a few seconds after the peer has vanished or
 /// lost the connection's state. Otherwise a connection that waits for a
 /// response, or is idle in a pool, may never report an error.
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -229,6 +229,15 @@
       "Rate of the host's network link. Calls with large answers wait while "
       "the "
       "link is full; 0: not known."),
+    RealField<S>(
+      "memory.limit_mb",
+      [](S& s) -> auto& { return s.memoryLimitMb; },
+      0,
+      1000000,
+      "MB",
+      "Memory that the process may use, in units of 1,048,576 bytes. Large "
+      "requests and answers that don't fit into it together are refused; 0: "
+      "not known, nothing is refused."),
     EnumField<S, std::string>(
       "log.format",
       [](S& s) -> auto& { return s.logFormat; },
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -4,6 +4,7 @@
 
 #include "baobab/net/accept.hpp"
 #include "baobab/net/worker.hpp"
+#include "body_reader.hpp"
 #include "http_convert.hpp"
 
 #include <algorithm>
@@ -17,7 +18,7 @@
 
 namespace beast = boost::beast;
 
-using Parser = http::request_parser<http::string_body>;
+using Parser = RequestParser;
 
 constexpr std::size_t kReadBytes = 4096;
 
@@ -143,16 +144,18 @@
       return false;
     }
     this->SetDeadline(this->limits.bodyTimeout);
-    if (!parser.is_done()) {
-      result = Await([&](auto aHandler) {
-        http::async_read(this->stream, this->buffer, parser, aHandler);
-      });
-      if (!result) {
-        return this->RejectRequest(result.error);
-      }
+    BodyReader body(this->stream,
+                    this->buffer,
+                    parser,
+                    this->maxBodyBytes,
+                    this->limits.maxHeaderBytes);
+    result = body.Read();
+    if (!result) {
+      return body.GaveWay() ? this->Refuse(HttpRequestError::OutOfMemory)
+                            : this->RejectRequest(result.error);
     }
     this->deadline = TimePoint::max();
-    return this->HandleRequest(parser.release());
+    return this->HandleRequest(parser.release(), body.TakeHeld());
   }
 
   /// Applies the body limit and responds to `Expect: 100-continue`.
@@ -169,6 +172,7 @@
       return false;
     }
     aParser.body_limit(limit);
+    this->maxBodyBytes = limit;
     if (!beast::iequals(head[http::field::expect], "100-continue")) {
       return true;
     }
@@ -179,7 +183,8 @@
     }));
   }
 
-  bool HandleRequest(http::request<http::string_body> aMessage)
+  bool HandleRequest(http::request<http::string_body> aMessage,
+                     HeldMemory aHeld)
   {
     if (this->state.KeepAliveStopped()) {
       return this->Refuse(HttpRequestError::Stopping);
@@ -190,7 +195,8 @@
                      std::string(ToStringView(aMessage.method_string())),
                      std::string(ToStringView(aMessage.target())),
                      EndToEndHeaders(aMessage),
-                     std::move(aMessage.body()) };
+                     std::move(aMessage.body()),
+                     std::move(aHeld) };
     const std::string method = request.method;
     ++this->state.activeRequests;
     const auto notifier = this->WatchForDisconnect();
@@ -292,6 +298,8 @@
   beast::flat_buffer buffer{ kMaxBufferBytes };
   const HttpLimits& serverLimits;
   HttpLimits limits;
+  /// Largest body of the current request.
+  std::size_t maxBodyBytes = 0;
   const HttpHandler& handler;
   HttpServerState& state;
   TimePoint deadline = TimePoint::max();
@@ -347,12 +355,20 @@
     }
     beast::error_code error;
     aSocket.set_option(Tcp::no_delay(true), error);
+    if (ProcessMemory().Bounds().Bounded()) {
+      LimitReceiveBuffer(aSocket);
+    }
+    HeldMemory held(MemoryPart::Connections);
+    held.Account(kConnectionBytes);
     auto connection = std::make_unique<Connection>(
       std::move(aSocket), aLimits, aHandler, aState);
     ++aState.openConnections;
     ++aState.acceptedConnections;
     connections->open.insert(connection.get());
-    Spawn([connection = std::move(connection), connections, &aState] {
+    Spawn([connection = std::move(connection),
+           held = std::move(held),
+           connections,
+           &aState] {
       connection->Run();
       connections->open.erase(connection.get());
       --aState.openConnections;
--- a/src/baobab/net/log_events.cpp
+++ b/src/baobab/net/log_events.cpp
@@ -51,6 +51,7 @@
         kPeerAnswerMalformed,
         kCallAttempt,
         kCallEnded,
+        kOutOfMemory,
         kSecondSent,
         kCallQueued,
         kCallStarted,
--- a/src/baobab/net/socket.cpp
+++ b/src/baobab/net/socket.cpp
@@ -96,6 +96,15 @@
   return socket;
 }
 
+void
+LimitReceiveBuffer(Tcp::socket& aSocket)
+{
+  boost::system::error_code ignored;
+  // The kernel doubles the value, for its own overhead.
+  aSocket.set_option(
+    asio::socket_base::receive_buffer_size(kReceiveBufferBytes / 2), ignored);
+}
+
 void
 EnableDeadPeerDetection(Tcp::socket& aSocket)
 {
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -12,6 +12,7 @@
 #include "baobab/node/daemon_metrics.hpp"
 #include "baobab/node/gossip_agent.hpp"
 #include "baobab/node/ingress_pool.hpp"
+#include "baobab/node/memory_limit.hpp"
 #include "baobab/node/metrics.hpp"
 #include "baobab/node/peer_server.hpp"
 #include "baobab/node/quarantine_agent.hpp"
@@ -440,6 +441,7 @@
         this->membership,
         this->callerConnections,
         this->timerDelays });
+    AddMemoryMetrics(page, ProcessMemory());
     this->routes.Read(
       [&](const RouteTable& aTable) { AddRouteMetrics(page, aTable); });
     return page.Text();
@@ -530,6 +532,7 @@
           const Platform& aPlatform,
           SettingsReader aReader)
 {
+  LimitMemory(aSettings.settings.memoryLimitMb);
   // Never destroyed: fibers of the stopped daemon still refer to it, and the
   // process exits right after.
   auto* daemon = new Daemon(aSettings, aPlatform, std::move(aReader));
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -4,6 +4,8 @@
 #include "baobab/decision/quarantine.hpp"
 #include "baobab/decision/retry_state.hpp"
 #include "baobab/net/clock.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 #include "baobab/node/hedge.hpp"
 #include "baobab/node/responses.hpp"
 
@@ -101,6 +103,13 @@
       return this->Answer(std::move(aRequest), aCaller);
     },
     [](HttpRequestError aError) {
+      if (aError == HttpRequestError::OutOfMemory) {
+        ProcessMemory().RecordRefusal(MemoryPart::Requests);
+        Log(kOutOfMemory,
+            Name(MemoryPart::Requests),
+            ProcessMemory().Held(MemoryPart::Requests),
+            ProcessMemory().Total());
+      }
       return MarkNotRun(InvalidRequestResponse(aError));
     },
     [this] { return this->Limits(); },
--- a/src/baobab/node/ingress_pool.cpp
+++ b/src/baobab/node/ingress_pool.cpp
@@ -39,6 +39,16 @@
            aSettings.timeouts.callerIdle };
 }
 
+/// Returns the number of connections that callers may open: as many as fit into
+/// half of the memory for messages.
+std::int64_t
+MaxCallerConnections(const Settings& aSettings)
+{
+  const auto bytes = static_cast<std::int64_t>(kConnectionBytes);
+  return std::min(aSettings.callerConnections,
+                  ProcessMemory().Bounds().total / 2 / bytes);
+}
+
 /// Calls a function on a worker's thread, and suspends the calling fiber until
 /// the result is available.
 template<class F>
@@ -81,7 +91,7 @@
 IngressPool::Open()
 {
   const auto connectionsPerWorker = static_cast<std::size_t>(
-    this->settings.callerConnections / this->settings.workers + 1);
+    MaxCallerConnections(this->settings) / this->settings.workers + 1);
   for (std::int64_t i = 0; i < this->settings.workers; ++i) {
     auto worker = std::make_unique<IngressWorker>(connectionsPerWorker);
     auto socket = Listen(worker->thread.Context(), this->settings.callers);
--- a/src/baobab/node/responses.cpp
+++ b/src/baobab/node/responses.cpp
@@ -82,6 +82,14 @@
       response.headers.push_back({ "Retry-After", "1" });
       return response;
     }
+    case HttpRequestError::OutOfMemory: {
+      Response response =
+        TextResponse(kUnavailable,
+                     "Not run: the host has no memory left for the request "
+                     "body. Send it again.\n");
+      response.headers.push_back({ "Retry-After", "1" });
+      return response;
+    }
     case HttpRequestError::Malformed:
       break;
   }
