Large calls and answers are not copied, and take their memory from the ledger

Cause: a body was held up to seven times on its way: in the call message, the FlatBuffers builder (which kept it), the frame, the write, the received bytes, their aligned copy and the decoded message, and once more for the target.

The frame of a call or an answer ends with its body. A large one is sent in parts from where it is; the receiver reads the frame into one block, which becomes the body. Without memory for it the body is skipped and the call is refused (out-of-memory, not run); an answer's outcome is unknown. Answers of targets take from the ledger while they are read.

--- a/include/baobab/core/memory_ledger.hpp
+++ b/include/baobab/core/memory_ledger.hpp
@@ -117,12 +117,14 @@
   HeldMemory(const HeldMemory& aOther)
     : ledger(aOther.ledger)
     , part(aOther.part)
+    , refused(aOther.refused)
   {
     this->Account(aOther.bytes);
   }
   HeldMemory(HeldMemory&& aOther) noexcept
     : ledger(aOther.ledger)
     , part(aOther.part)
+    , refused(aOther.refused)
     , bytes(std::exchange(aOther.bytes, 0))
   {
   }
@@ -130,6 +132,7 @@
   {
     std::swap(this->ledger, aOther.ledger);
     std::swap(this->part, aOther.part);
+    std::swap(this->refused, aOther.refused);
     std::swap(this->bytes, aOther.bytes);
     return *this;
   }
@@ -146,12 +149,17 @@
 
   std::size_t Bytes() const { return this->bytes; }
 
+  /// Records that the message lost its body because there was no memory for it.
+  void MarkRefused();
+  bool Refused() const { return this->refused; }
+
   /// Accounting is no part of a message's value.
   bool operator==(const HeldMemory& /*aOther*/) const { return true; }
 
 private:
   MemoryLedger* ledger = nullptr;
   MemoryPart part = MemoryPart::Requests;
+  bool refused = false;
   std::size_t bytes = 0;
 };
 
--- a/include/baobab/decision/call_attempt.hpp
+++ b/include/baobab/decision/call_attempt.hpp
@@ -74,6 +74,9 @@
   ConnectionNumber SentOn() const { return *this->sentOn; }
   /// Set once an event returned Finish.
   const std::optional<Outcome>& Result() const { return this->outcome; }
+  /// Moves the result out, so that a large answer is not copied. Only valid if
+  /// it is set.
+  Outcome TakeResult() { return std::move(*this->outcome); }
 
 private:
   AttemptAction End(Outcome aOutcome);
--- a/include/baobab/decision/retry_state.hpp
+++ b/include/baobab/decision/retry_state.hpp
@@ -50,6 +50,8 @@
 
   /// Combined outcome of the attempts so far.
   const Outcome& Result() const { return this->result; }
+  /// Moves the result out, so that a large answer is not copied.
+  Outcome TakeResult() { return std::move(this->result); }
 
   std::int64_t Attempts() const { return this->attempts; }
 
--- a/include/baobab/net/frame_connection.hpp
+++ b/include/baobab/net/frame_connection.hpp
@@ -8,8 +8,10 @@
 #include "baobab/wire/peer_message.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace baobab {
@@ -24,8 +26,21 @@
   /// Queues a message. Messages of one scheduling round share a write.
   void Send(const PeerMessage& aMessage);
 
+  /// Queues a call with a large body, which is sent from where it is. The body
+  /// must stay until it was sent, or Detach() was called.
+  /// @param aMessage with an empty body
+  void SendWithBody(const CallMessage& aMessage, std::string_view aBody);
+
+  /// Queues an answer, and takes its body over.
+  void SendLarge(AnswerMessage aMessage);
+
+  /// Copies what is still to be sent of a body, which may then be freed.
+  void Detach(std::string_view aBody);
+
   /// Waits for the next message. Fails with ConnectionLost, BadMessage or
-  /// TooLarge, and closes the connection in each case.
+  /// TooLarge, and closes the connection in each case. If there is no memory
+  /// for the body of a call or an answer, the message comes without it and is
+  /// marked so.
   Result<PeerMessage> Read();
 
   /// Closes the connection. Received data that was not read yet is lost.
@@ -45,14 +60,35 @@
   TimePoint UnansweredSince() const;
 
 private:
+  /// Bytes to send, and a body that follows them.
+  struct Piece
+  {
+    std::string bytes;
+    /// Body that this connection owns; `body` refers to it.
+    std::string owned;
+    std::string_view body;
+    HeldMemory held{ MemoryPart::Answers };
+  };
+
+  Piece& LastPiece();
+  void ExpectResponse(bool aExpected);
+  void StartFlush();
   void Flush();
+  bool TakeNextBytes();
+  /// Reads at least one byte into a buffer. Returns false, and closes the
+  /// connection, if there are none.
+  bool ReadSome(char* aBytes, std::size_t aSize, std::size_t& aRead);
+  Result<PeerMessage> ReadLargeFrame(std::size_t aLength);
+  bool ReadTo(std::string& aFrame, std::size_t aSize);
+  bool Skip(std::size_t aBytes);
   /// Decodes the first frame of `incoming`, which must be complete.
   Result<PeerMessage> DecodeBufferedFrame(std::size_t aLength);
 
   Tcp::socket socket;
-  /// Frames that wait for the next write.
-  std::string outgoing;
-  /// Frames of the write in progress.
+  /// What waits for the next writes.
+  std::deque<Piece> outgoing;
+  std::size_t unsent = 0;
+  /// Bytes of the write in progress.
   std::string writing;
   bool flushing = false;
   /// Received bytes; those from readPosition to writePosition are not decoded
--- a/include/baobab/net/http_client.hpp
+++ b/include/baobab/net/http_client.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace baobab {
 
@@ -21,6 +22,8 @@
   /// Returns whether a response belongs to the request; other responses are
   /// discarded. If unset, the first response is returned.
   std::function<bool(const Response&)> matchesRequest = nullptr;
+  /// Headers that are sent besides those of the request.
+  std::vector<HeaderField> headers{};
 };
 
 /// A client connection that carries one request at a time.
--- a/include/baobab/node/peer_link.hpp
+++ b/include/baobab/node/peer_link.hpp
@@ -124,6 +124,7 @@
   };
 
   void Perform(PendingAttempt& aPending, AttemptAction aAction);
+  void SendCall(const PendingAttempt& aPending);
   void GiveUp(PendingAttempt& aPending, AttemptAction aAction);
   void MaintainConnection();
   bool Connect();
--- a/include/baobab/node/target_client.hpp
+++ b/include/baobab/node/target_client.hpp
@@ -120,7 +120,7 @@
   TargetResult ClassifyAnswer(const TargetCall& aCall, Response aAnswer) const;
   bool IsRefusal(const Response& aAnswer, const CallId& aId) const;
   void ReturnToPool(std::unique_ptr<HttpClient> aClient);
-  Request BuildRequest(const TargetCall& aCall) const;
+  std::vector<HeaderField> HeadersFor(const TargetCall& aCall) const;
 
   boost::asio::io_context& context;
   const Settings& settings;
--- a/include/baobab/wire/peer_codec.hpp
+++ b/include/baobab/wire/peer_codec.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -19,7 +20,28 @@
 constexpr std::size_t kMaxFrameBytes = 80U << 20U;
 
 /// Encodes a message and appends its frame to a buffer.
-void AppendFrame(const PeerMessage& aMessage, std::string& aBuffer);
+/// @param aBodyBytes size of the body of a call or an answer that the caller
+///   sends right behind the buffer; the message's own body must be empty
+void AppendFrame(const PeerMessage& aMessage,
+                 std::string& aBuffer,
+                 std::size_t aBodyBytes = 0);
+
+/// What the front of a frame says about the body of a call or an answer.
+struct FrameBody
+{
+  bool answer = false;
+  /// Position of the body's first byte in the frame.
+  std::size_t position = 0;
+  std::size_t size = 0;
+};
+
+/// Finds the body of a call or an answer by the front of its frame; nothing if
+/// the frame carries another message or the front does not contain the fields.
+/// @param aFront at least the bytes up to the body, aligned to 8 bytes
+std::optional<FrameBody> FindFrameBody(std::span<const std::uint8_t> aFront);
+
+/// Removes the body from the front of a frame, which ends with it.
+void RemoveFrameBody(std::string& aFront, const FrameBody& aBody);
 
 /// Decodes the length field of a frame. Fails with TooLarge if the length
 /// exceeds kMaxFrameBytes.
@@ -31,4 +53,8 @@
 /// @param aFrame the bytes after the length field, aligned to 8 bytes
 Result<PeerMessage> DecodeFrame(std::span<const std::uint8_t> aFrame);
 
+/// Decodes a large frame like DecodeFrame. The memory of the frame becomes that
+/// of the body of a call or an answer.
+Result<PeerMessage> DecodeLargeFrame(std::string aFrame);
+
 }
--- a/src/baobab/core/memory_ledger.cpp
+++ b/src/baobab/core/memory_ledger.cpp
@@ -92,4 +92,14 @@
   this->bytes = aBytes;
 }
 
+void
+HeldMemory::MarkRefused()
+{
+  this->Release();
+  this->refused = true;
+  if (this->ledger != nullptr) {
+    this->ledger->RecordRefusal(this->part);
+  }
+}
+
 }
--- a/src/baobab/net/body_reader.cpp
+++ b/src/baobab/net/body_reader.cpp
@@ -109,7 +109,8 @@
       this->state.lastBytesAt = Now();
     }
     this->state.arrived = body.size();
-    if (!this->state.length && body.size() > kLargeBodyBytes) {
+    if (!this->state.length && body.size() > kLargeBodyBytes &&
+        ProcessMemory().Bounds().Bounded()) {
       // Memory that was not written to is not in use. Growing step by step
       // would hold the body twice for a moment.
       body.reserve(this->maxBodyBytes);
--- a/src/baobab/net/http_client.cpp
+++ b/src/baobab/net/http_client.cpp
@@ -16,6 +16,16 @@
 /// parsed yet are kept: lines of the head, of chunks and of trailers.
 constexpr std::size_t kMaxBufferBytes = 128U << 10U;
 
+/// Size of a body from which on it is counted.
+constexpr std::size_t kCountedBodyBytes = 16U << 10U;
+
+/// Bytes that are read at once at most.
+constexpr std::size_t kReadBytes = 64U << 10U;
+
+/// Size of a body from which on its memory is not moved any more while it
+/// grows.
+constexpr std::size_t kLargeBodyBytes = 1U << 20U;
+
 /// Responses that are discarded for one request at most, because they are
 /// interim ones or belong to another request.
 constexpr int kMaxDiscarded = 8;
@@ -73,6 +83,9 @@
     for (const HeaderField& field : aRequest.headers) {
       message.insert(field.name, field.value);
     }
+    for (const HeaderField& field : aOptions.headers) {
+      message.insert(field.name, field.value);
+    }
     if (message.find(http::field::host) == message.end()) {
       message.set(http::field::host, this->host);
     }
@@ -135,12 +148,25 @@
     parser.skip(aMethod == "HEAD");
     parser.on_chunk_header(CheckChunkExtension);
     IoResult read;
+    HeldMemory held(MemoryPart::Answers);
+    std::string& body = parser.get().body();
     bool headChecked = false;
     do {
       // The stream's own timeout only ends a read that has to wait for bytes.
       if (Now() >= this->deadline) {
         return this->Fail(beast::error::timeout);
       }
+      if (body.size() >= kCountedBodyBytes &&
+          !held.TryHold(body.size() + kReadBytes)) {
+        held.MarkRefused();
+        return this->Fail(http::error::body_limit);
+      }
+      if (body.size() >= kLargeBodyBytes && !parser.content_length() &&
+          ProcessMemory().Bounds().Bounded()) {
+        // Memory that was not written to is not in use. Growing step by step
+        // would hold the body twice for a moment.
+        body.reserve(aMaxBytes);
+      }
       read = Await([&](auto aHandler) {
         http::async_read_some(this->stream, this->buffer, parser, aHandler);
       });
@@ -164,6 +190,10 @@
     this->keepAliveTimeout = KeepAliveTimeoutOf(message);
     Response response{ message.result_int(), EndToEndHeaders(message), "" };
     response.body = std::move(message.body());
+    if (response.body.size() >= kCountedBodyBytes) {
+      held.Account(response.body.size());
+      response.held = std::move(held);
+    }
     return response;
   }
 
--- a/src/baobab/net/http_server_test.cpp
+++ b/src/baobab/net/http_server_test.cpp
@@ -211,6 +211,76 @@
   }
 }
 
+/// Bounds of the process's ledger for the time of a test.
+struct BoundedMemory
+{
+  explicit BoundedMemory(std::int64_t aRequestBytes)
+  {
+    MemoryBounds bounds;
+    bounds.parts[static_cast<std::size_t>(MemoryPart::Requests)] =
+      aRequestBytes;
+    bounds.total = 1 << 30;
+    bounds.reserve = 1 << 17;
+    ProcessMemory().SetBounds(bounds);
+  }
+  BoundedMemory(const BoundedMemory&) = delete;
+  BoundedMemory& operator=(const BoundedMemory&) = delete;
+  ~BoundedMemory() { ProcessMemory().SetBounds({}); }
+};
+
+BOOST_AUTO_TEST_CASE(a_body_without_memory_is_refused_and_holds_none)
+{
+  const BoundedMemory bounded(1 << 18);
+  TestServer server;
+  server.handler.maxBodyBytes = [](const HttpHead&) {
+    return std::size_t{ 1 } << 24U;
+  };
+  server.handler.handleError = [](HttpRequestError aError) {
+    return TextResponse(aError == HttpRequestError::OutOfMemory ? 503 : 400,
+                        "error");
+  };
+  server.Run([](Tcp::socket& aCaller) {
+    SendText(aCaller,
+             "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n" +
+               std::string(900000, 'x'));
+    BOOST_TEST(ReadAll(aCaller).starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(ProcessMemory().Held(MemoryPart::Requests) == 0);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_small_body_uses_the_reserve)
+{
+  const BoundedMemory bounded(0);
+  TestServer server;
+  server.handler.handleRequest = [](Request&& aRequest, DisconnectNotifier&) {
+    BOOST_TEST(aRequest.held.Bytes() == aRequest.body.size());
+    return TextResponse(200, aRequest.body);
+  };
+  server.Run([](Tcp::socket& aCaller) {
+    SendText(aCaller,
+             "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+             "Content-Length: 4\r\n\r\nab");
+    boost::this_fiber::sleep_for(5ms);
+    SendText(aCaller, "cd");
+    BOOST_TEST(ReadAll(aCaller).ends_with("abcd"));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(an_endless_chunk_extension_is_refused)
+{
+  TestServer server;
+  server.handler.maxBodyBytes = [](const HttpHead&) {
+    return std::size_t{ 1 } << 24U;
+  };
+  server.Run([](Tcp::socket& aCaller) {
+    SendText(aCaller,
+             "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "1;a=" +
+               std::string(400000, 'x'));
+    BOOST_TEST(ReadAll(aCaller).starts_with("HTTP/1.1 400 "));
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -19,6 +19,9 @@
 /// Largest expected size of an answer that is accepted from a sender.
 constexpr std::uint64_t kMaxAnswerBytes = 64U << 20U;
 
+/// Size of an answer from which on it is sent without a copy.
+constexpr std::size_t kLargeAnswerBytes = 256U << 10U;
+
 /// Time between checks whether the service of an announcement is known.
 constexpr Duration kServicePeriod = 50ms;
 
@@ -150,6 +153,10 @@
   if (this->shuttingDown) {
     return NotRun{ RefusalReason::Leaving, "the daemon is shutting down" };
   }
+  if (aCall.request.held.Refused()) {
+    return NotRun{ RefusalReason::OutOfMemory,
+                   "the host has no memory left for the request" };
+  }
   if (aCall.request.service != this->admission.Service()) {
     return NotRun{ RefusalReason::WrongService,
                    "the target runs another service" };
@@ -649,8 +656,20 @@
       ran / (aRun.slowness * this->admission.Crowding(aRun.concurrency))),
     std::chrono::duration_cast<Micros>(now - aRun.arrivedAt)
   };
-  connection->frames->Send(message);
-  this->ledger.Finish(id, std::move(message.response));
+  if (message.response.body.size() < kLargeAnswerBytes) {
+    connection->frames->Send(message);
+    this->ledger.Finish(id, std::move(message.response));
+    return;
+  }
+  // Without memory for a copy, a lost connection loses the answer too.
+  HeldMemory copy(MemoryPart::Answers);
+  if (copy.TryHold(message.response.body.size())) {
+    copy.Release();
+    this->ledger.Finish(id, message.response);
+  } else {
+    this->ledger.RecordLoss(id);
+  }
+  connection->frames->SendLarge(std::move(message));
 }
 
 /// Logs and counts a call whose outcome is unknown, and tells its sender.
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -234,7 +234,7 @@
       break;
     }
   }
-  Outcome result = retryState.Result();
+  Outcome result = retryState.TakeResult();
   if (auto* refusal = std::get_if<NotRun>(&result)) {
     refusal->retried = refusal->retried || retryState.Attempts() > 1;
   }
--- a/src/baobab/node/peer_link.cpp
+++ b/src/baobab/node/peer_link.cpp
@@ -19,6 +19,9 @@
 /// Time without calls after which the connection is closed.
 constexpr Duration kIdleTimeout = 60s;
 
+/// Size of a body from which on it is sent without a copy.
+constexpr std::size_t kLargeBodyBytes = 64U << 10U;
+
 /// Heartbeat intervals between two heartbeats while no call is in flight.
 constexpr unsigned kIdleHeartbeatIntervals = 8;
 
@@ -72,9 +75,12 @@
     aCancellation->cancel = nullptr;
   }
   this->pending.erase(id.sequence);
+  if (this->connection) {
+    this->connection->Detach(aRequest.body);
+  }
   return AttemptResult{
     .id = id,
-    .outcome = *pending.attempt.Result(),
+    .outcome = pending.attempt.TakeResult(),
     .load = pending.load,
     .work = pending.work,
     .serverTime = pending.serverTime,
@@ -115,19 +121,7 @@
   const CallAttempt& attempt = aPending.attempt;
   switch (aAction) {
     case AttemptAction::SendCall:
-      this->connection->Send(CallMessage{
-        attempt.Id(),
-        aPending.request,
-        std::chrono::duration_cast<Micros>(attempt.Deadline() - Now()),
-        attempt.Idempotent(),
-        aPending.terms.priority,
-        std::chrono::duration_cast<Micros>(aPending.terms.objective - Now()),
-        std::chrono::duration_cast<Micros>(aPending.terms.work),
-        std::chrono::duration_cast<Micros>(aPending.terms.alternative),
-        aPending.terms.traced,
-        static_cast<std::uint64_t>(aPending.terms.answerBytes),
-        aPending.terms.targetLimit,
-        aPending.terms.workspace });
+      this->SendCall(aPending);
       break;
     case AttemptAction::SendAsk:
       this->connection->Send(
@@ -142,6 +136,38 @@
   }
 }
 
+/// Sends a call. A large body is not copied.
+void
+PeerLink::SendCall(const PendingAttempt& aPending)
+{
+  const CallAttempt& attempt = aPending.attempt;
+  const Request& request = aPending.request;
+  const bool large = request.body.size() >= kLargeBodyBytes;
+  const CallMessage message{
+    attempt.Id(),
+    { request.service,
+      request.method,
+      request.target,
+      request.headers,
+      large ? std::string() : request.body },
+    std::chrono::duration_cast<Micros>(attempt.Deadline() - Now()),
+    attempt.Idempotent(),
+    aPending.terms.priority,
+    std::chrono::duration_cast<Micros>(aPending.terms.objective - Now()),
+    std::chrono::duration_cast<Micros>(aPending.terms.work),
+    std::chrono::duration_cast<Micros>(aPending.terms.alternative),
+    aPending.terms.traced,
+    static_cast<std::uint64_t>(aPending.terms.answerBytes),
+    aPending.terms.targetLimit,
+    aPending.terms.workspace
+  };
+  if (large) {
+    this->connection->SendWithBody(message, request.body);
+  } else {
+    this->connection->Send(message);
+  }
+}
+
 void
 PeerLink::MaintainConnection()
 {
@@ -236,7 +262,7 @@
           aPending.work = aAnswer.work;
           aPending.serverTime = aAnswer.held;
           aPending.malformedPart = FindMalformedPart(aAnswer.response);
-          if (aPending.malformedPart) {
+          if (aPending.malformedPart || aAnswer.response.held.Refused()) {
             return aPending.attempt.OnLost();
           }
           return aPending.attempt.OnAnswer(std::move(aAnswer.response));
--- a/src/baobab/node/target_client.cpp
+++ b/src/baobab/node/target_client.cpp
@@ -219,6 +219,7 @@
     return { NotRun{ RefusalReason::Cancelled, "cancelled" } };
   }
   ExchangeOptions options{ aCall.maxAnswerBytes, left };
+  options.headers = this->HeadersFor(aCall);
   const std::string& idHeader = this->settings.headers.requestId;
   const auto id = FindHeader(aCall.request.headers, idHeader);
   if (!id.empty()) {
@@ -227,7 +228,7 @@
     };
   }
   aControl.connection = aClient.get();
-  auto response = aClient->Exchange(this->BuildRequest(aCall), options);
+  auto response = aClient->Exchange(aCall.request, options);
   aControl.connection = nullptr;
   if (!Succeeded(response)) {
     const Error& error = Failure(response);
@@ -302,20 +303,21 @@
   return aAnswer.status == kServiceUnavailable && notRun == ToString(aId);
 }
 
-Request
-TargetClient::BuildRequest(const TargetCall& aCall) const
+/// Returns the headers that are added to the request of a call.
+std::vector<HeaderField>
+TargetClient::HeadersFor(const TargetCall& aCall) const
 {
   const HeaderNames& names = this->settings.headers;
-  Request request = aCall.request;
+  std::vector<HeaderField> headers;
   const auto left = std::chrono::duration_cast<Millis>(aCall.deadline - Now());
-  request.headers.push_back({ std::string(kCallIdHeader), ToString(aCall.id) });
-  request.headers.push_back(
+  headers.push_back({ std::string(kCallIdHeader), ToString(aCall.id) });
+  headers.push_back(
     { names.deadline,
       std::to_string(std::max<std::int64_t>(1, left.count())) });
   if (!this->instance.empty()) {
-    request.headers.push_back({ names.targetInstance, this->instance });
+    headers.push_back({ names.targetInstance, this->instance });
   }
-  return request;
+  return headers;
 }
 
 }
--- a/src/baobab/wire/codec_test.cpp
+++ b/src/baobab/wire/codec_test.cpp
@@ -256,6 +256,79 @@
   BOOST_TEST(rejected > 1000U);
 }
 
+/// The body of a large call is sent from where it is, behind the frame's front.
+BOOST_AUTO_TEST_CASE(a_body_sent_behind_its_frame_is_decoded)
+{
+  for (const std::size_t size : { 1U, 7U, 1000U, 300000U }) {
+    const std::string body(size, 'b');
+    CallMessage sent = SampleCall();
+    sent.request.body.clear();
+    std::string frame;
+    AppendFrame(sent, frame, body.size());
+    frame.erase(0, kFrameHeaderBytes);
+    frame += body;
+    sent.request.body = body;
+    const auto copied = DecodeFrame(AlignedBytes(frame).Span());
+    BOOST_REQUIRE(Succeeded(copied));
+    BOOST_TEST((std::get<CallMessage>(Value(copied)).request == sent.request));
+    const auto moved = DecodeLargeFrame(frame);
+    BOOST_REQUIRE(Succeeded(moved));
+    BOOST_TEST((std::get<CallMessage>(Value(moved)).request == sent.request));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_length_of_a_frame_includes_the_body_behind_it)
+{
+  CallMessage message = SampleCall();
+  message.request.body.clear();
+  std::string frame;
+  AppendFrame(message, frame, 100);
+  std::uint32_t length = 0;
+  std::memcpy(&length, frame.data(), sizeof length);
+  BOOST_TEST(length == frame.size() - kFrameHeaderBytes + 100);
+}
+
+BOOST_AUTO_TEST_CASE(a_body_is_found_by_the_front_of_its_frame)
+{
+  const std::string body(100000, 'b');
+  const AnswerMessage answer{ { 1, 2 }, { 200, { { "A", "b" } }, body }, {} };
+  CallMessage call = SampleCall();
+  call.request.body = body;
+  for (const PeerMessage& message :
+       { PeerMessage(answer), PeerMessage(call) }) {
+    const std::string frame = Payload(message);
+    std::string front = frame.substr(0, 1000);
+    const auto found = FindFrameBody(AlignedBytes(front).Span());
+    BOOST_REQUIRE(found);
+    BOOST_TEST(found->answer == std::holds_alternative<AnswerMessage>(message));
+    BOOST_TEST(found->size == body.size());
+    BOOST_TEST(frame.substr(found->position, found->size) == body);
+    BOOST_TEST(found->position + found->size == frame.size());
+    RemoveFrameBody(front, *found);
+    const auto decoded = DecodeLargeFrame(front);
+    BOOST_REQUIRE(Succeeded(decoded));
+    if (found->answer) {
+      BOOST_TEST(std::get<AnswerMessage>(Value(decoded)).response.body.empty());
+    } else {
+      const auto& request = std::get<CallMessage>(Value(decoded)).request;
+      BOOST_TEST(request.body.empty());
+      BOOST_TEST((request.headers == call.request.headers));
+    }
+  }
+  BOOST_TEST(!FindFrameBody(AlignedBytes(Payload(HeartbeatMessage{})).Span()));
+}
+
+BOOST_AUTO_TEST_CASE(damaged_fronts_are_no_danger)
+{
+  SplitMix random(7);
+  const std::string frame = Payload(SampleCall());
+  for (int i = 0; i < 20000; ++i) {
+    const std::string damaged = Mutate(frame, random);
+    (void)FindFrameBody(AlignedBytes(damaged).Span());
+    (void)DecodeLargeFrame(damaged);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(foreign_and_oversized_bytes_are_rejected)
 {
   BOOST_TEST(!Succeeded(DecodeGossip({})));
--- a/src/baobab/wire/peer_decode.cpp
+++ b/src/baobab/wire/peer_decode.cpp
@@ -99,8 +99,15 @@
   return PeerMessage(std::move(message));
 }
 
+/// Whether the body of a call or an answer is copied from the frame.
+enum class BodyCopy : std::uint8_t
+{
+  Copy,
+  LeaveOut,
+};
+
 Result<PeerMessage>
-Decode(const fb::Call& aCall)
+Decode(const fb::Call& aCall, BodyCopy aBody)
 {
   CallMessage message;
   message.id = FromWire(*aCall.id());
@@ -108,7 +115,8 @@
                       aCall.method()->str(),
                       aCall.target()->str(),
                       DecodeHeaders(aCall.headers()),
-                      DecodeBytes(aCall.body()) };
+                      DecodeBytes(aBody == BodyCopy::Copy ? aCall.body()
+                                                          : nullptr) };
   message.remaining = ToMicros(aCall.remaining_us());
   message.idempotent = aCall.idempotent();
   message.priority = aCall.priority();
@@ -125,15 +133,16 @@
 }
 
 Result<PeerMessage>
-Decode(const fb::Answer& aAnswer)
+Decode(const fb::Answer& aAnswer, BodyCopy aBody)
 {
-  return PeerMessage(AnswerMessage{ FromWire(*aAnswer.id()),
-                                    { aAnswer.status(),
-                                      DecodeHeaders(aAnswer.headers()),
-                                      DecodeBytes(aAnswer.body()) },
-                                    DecodeLoad(aAnswer.load()),
-                                    ToMicros(aAnswer.work_us()),
-                                    ToMicros(aAnswer.held_us()) });
+  return PeerMessage(AnswerMessage{
+    FromWire(*aAnswer.id()),
+    { aAnswer.status(),
+      DecodeHeaders(aAnswer.headers()),
+      DecodeBytes(aBody == BodyCopy::Copy ? aAnswer.body() : nullptr) },
+    DecodeLoad(aAnswer.load()),
+    ToMicros(aAnswer.work_us()),
+    ToMicros(aAnswer.held_us()) });
 }
 
 Result<PeerMessage>
@@ -208,7 +217,7 @@
 }
 
 Result<PeerMessage>
-DecodeBody(const fb::Envelope& aEnvelope)
+DecodeBody(const fb::Envelope& aEnvelope, BodyCopy aBody)
 {
   switch (aEnvelope.body_type()) {
     case fb::Body::Hello: {
@@ -220,9 +229,9 @@
       return PeerMessage(
         WelcomeMessage{ aEnvelope.body_as_Welcome()->incarnation() });
     case fb::Body::Call:
-      return Decode(*aEnvelope.body_as_Call());
+      return Decode(*aEnvelope.body_as_Call(), aBody);
     case fb::Body::Answer:
-      return Decode(*aEnvelope.body_as_Answer());
+      return Decode(*aEnvelope.body_as_Answer(), aBody);
     case fb::Body::Refusal:
       return Decode(*aEnvelope.body_as_Refusal());
     case fb::Body::Lost:
@@ -288,15 +297,135 @@
   return std::size_t{ length };
 }
 
+namespace {
+
 Result<PeerMessage>
-DecodeFrame(std::span<const std::uint8_t> aFrame)
+VerifyAndDecode(std::span<const std::uint8_t> aFrame, BodyCopy aBody)
 {
   flatbuffers::Verifier verifier(aFrame.data(), aFrame.size());
   if (aFrame.size() < sizeof(std::uint32_t) ||
       !fb::VerifyEnvelopeBuffer(verifier)) {
     return Error{ ErrorKind::BadMessage, "not a valid peer message", "" };
   }
-  return DecodeBody(*fb::GetEnvelope(aFrame.data()));
+  return DecodeBody(*fb::GetEnvelope(aFrame.data()), aBody);
+}
+
+/// Reads parts of a FlatBuffer whose end is missing.
+class FrontReader
+{
+public:
+  explicit FrontReader(std::span<const std::uint8_t> aFront)
+    : front(aFront)
+  {
+  }
+
+  /// Reads a number; nothing if it is not in the front.
+  template<class T>
+  std::optional<T> Read(std::size_t aPosition) const
+  {
+    if (aPosition > this->front.size() ||
+        this->front.size() - aPosition < sizeof(T)) {
+      return std::nullopt;
+    }
+    return flatbuffers::ReadScalar<T>(this->front.data() + aPosition);
+  }
+
+  /// Returns the position that a reference leads to.
+  std::optional<std::size_t> Follow(std::optional<std::size_t> aReference) const
+  {
+    const auto offset =
+      aReference ? this->Read<std::uint32_t>(*aReference) : std::nullopt;
+    return offset ? std::optional(*aReference + *offset) : std::nullopt;
+  }
+
+  /// Returns the position of a table's field; nothing if it is not set.
+  std::optional<std::size_t> Field(std::optional<std::size_t> aTable,
+                                   std::uint16_t aField) const
+  {
+    const auto distance =
+      aTable ? this->Read<std::int32_t>(*aTable) : std::nullopt;
+    if (!distance) {
+      return std::nullopt;
+    }
+    const std::int64_t entries = static_cast<std::int64_t>(*aTable) - *distance;
+    if (entries < 0) {
+      return std::nullopt;
+    }
+    const auto start = static_cast<std::size_t>(entries);
+    const auto size = this->Read<std::uint16_t>(start);
+    if (!size || aField + sizeof(std::uint16_t) > *size) {
+      return std::nullopt;
+    }
+    const auto offset = this->Read<std::uint16_t>(start + aField);
+    return offset && *offset != 0 ? std::optional(*aTable + *offset)
+                                  : std::nullopt;
+  }
+
+private:
+  std::span<const std::uint8_t> front;
+};
+
+}
+
+std::optional<FrameBody>
+FindFrameBody(std::span<const std::uint8_t> aFront)
+{
+  const FrontReader reader(aFront);
+  const auto envelope = reader.Follow(0);
+  const auto type = reader.Field(envelope, fb::Envelope::VT_BODY_TYPE);
+  const auto message =
+    reader.Follow(reader.Field(envelope, fb::Envelope::VT_BODY));
+  const auto kind = type ? reader.Read<std::uint8_t>(*type) : std::nullopt;
+  if (!kind) {
+    return std::nullopt;
+  }
+  const bool answer = *kind == static_cast<std::uint8_t>(fb::Body::Answer);
+  if (!answer && *kind != static_cast<std::uint8_t>(fb::Body::Call)) {
+    return std::nullopt;
+  }
+  constexpr std::uint16_t kAnswerBody = fb::Answer::VT_BODY;
+  constexpr std::uint16_t kCallBody = fb::Call::VT_BODY;
+  const auto body =
+    reader.Follow(reader.Field(message, answer ? kAnswerBody : kCallBody));
+  const auto size = body ? reader.Read<std::uint32_t>(*body) : std::nullopt;
+  if (!size) {
+    return std::nullopt;
+  }
+  return FrameBody{ answer, *body + sizeof(std::uint32_t), *size };
+}
+
+void
+RemoveFrameBody(std::string& aFront, const FrameBody& aBody)
+{
+  aFront.resize(aBody.position);
+  std::fill_n(aFront.end() - sizeof(std::uint32_t), sizeof(std::uint32_t), 0);
+}
+
+Result<PeerMessage>
+DecodeFrame(std::span<const std::uint8_t> aFrame)
+{
+  return VerifyAndDecode(aFrame, BodyCopy::Copy);
+}
+
+Result<PeerMessage>
+DecodeLargeFrame(std::string aFrame)
+{
+  const std::span bytes(reinterpret_cast<const std::uint8_t*>(aFrame.data()),
+                        aFrame.size());
+  const auto body = FindFrameBody(bytes);
+  auto message =
+    VerifyAndDecode(bytes, body ? BodyCopy::LeaveOut : BodyCopy::Copy);
+  if (!body || !Succeeded(message)) {
+    return message;
+  }
+  aFrame.resize(body->position + body->size);
+  aFrame.erase(0, body->position);
+  if (auto* call = std::get_if<CallMessage>(&Value(message))) {
+    call->request.body = std::move(aFrame);
+  } else if (auto* answer = std::get_if<AnswerMessage>(&Value(message))) {
+    answer->response.body = std::move(aFrame);
+  }
+  return message;
 }
 
 }
--- a/src/baobab/wire/peer_encode.cpp
+++ b/src/baobab/wire/peer_encode.cpp
@@ -5,6 +5,7 @@
 #include "packed_texts.hpp"
 
 #include <algorithm>
+#include <cstring>
 
 namespace baobab {
 namespace {
@@ -98,11 +99,12 @@
 {
   const Request& request = aMessage.request;
   const fb::Id id = ToWire(aMessage.id);
+  // The first object ends the frame, so that the bytes of a body can follow.
+  const auto body = EncodeBytes(aBuilder, request.body);
   const auto service = aBuilder.CreateString(request.service);
   const auto method = aBuilder.CreateString(request.method);
   const auto target = aBuilder.CreateString(request.target);
   const auto headers = EncodeHeaders(aBuilder, request.headers);
-  const auto body = EncodeBytes(aBuilder, request.body);
   const auto remaining = ToWireMicros(aMessage.remaining);
   return { fb::Body::Call,
            fb::CreateCall(aBuilder,
@@ -130,8 +132,9 @@
 {
   const fb::Id id = ToWire(aMessage.id);
   const WireLoad load(aMessage.load);
-  const auto headers = EncodeHeaders(aBuilder, aMessage.response.headers);
+  // The first object ends the frame, so that the bytes of a body can follow.
   const auto body = EncodeBytes(aBuilder, aMessage.response.body);
+  const auto headers = EncodeHeaders(aBuilder, aMessage.response.headers);
   return { fb::Body::Answer,
            fb::CreateAnswer(
              aBuilder,
@@ -305,18 +308,26 @@
 }
 
 void
-AppendFrame(const PeerMessage& aMessage, std::string& aBuffer)
+AppendFrame(const PeerMessage& aMessage,
+            std::string& aBuffer,
+            std::size_t aBodyBytes)
 {
   thread_local Builder builder(4096);
   builder.Clear();
   const EncodedBody encoded = std::visit(
     [&](const auto& aBody) { return Encode(builder, aBody); }, aMessage);
   builder.Finish(fb::CreateEnvelope(builder, encoded.type, encoded.offset));
-  const std::uint32_t length =
-    flatbuffers::EndianScalar(static_cast<std::uint32_t>(builder.GetSize()));
+  const std::uint32_t length = flatbuffers::EndianScalar(
+    static_cast<std::uint32_t>(builder.GetSize() + aBodyBytes));
   aBuffer.append(reinterpret_cast<const char*>(&length), sizeof length);
   aBuffer.append(reinterpret_cast<const char*>(builder.GetBufferPointer()),
                  builder.GetSize());
+  if (aBodyBytes > 0) {
+    const std::uint32_t size =
+      flatbuffers::EndianScalar(static_cast<std::uint32_t>(aBodyBytes));
+    std::memcpy(
+      aBuffer.data() + aBuffer.size() - sizeof size, &size, sizeof size);
+  }
 }
 
 }
--- a/testing/integration/endless_answers_test.sh
+++ b/testing/integration/endless_answers_test.sh
@@ -4,6 +4,9 @@
 NET=127.20.61
 . "$(dirname "$0")/lib.sh"
 
+# The daemon is told the memory of its host, as by the deployment's template.
+EXTRA_SETTINGS="[memory]
+limit_mb = 160"
 start_store
 write_settings 1 perth perth-north
 start_daemon 1
