--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "baobab/net/accept.hpp"
 #include "baobab/net/worker.hpp"
+#include "body_reader.hpp"
 #include "http_channel.hpp"
 #include "http_convert.hpp"
 #include "http_read_error.hpp"
@@ -18,7 +19,7 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
-using Parser = http::request_parser<http::string_body>;
+using Parser = RequestParser;
 
 using Ticket = PipelineOrder::Ticket;
 
@@ -141,17 +142,18 @@
       return false;
     }
     this->channel.SetReadDeadline(this->limits.bodyTimeout);
-    if (!parser.is_done()) {
-      result = this->channel.Read(this->order.Empty(), [&](auto aHandler) {
-        http::async_read(
-          this->channel.Stream(), this->channel.Buffer(), parser, aHandler);
-      });
-      if (!result) {
-        return this->RejectRequest(result.error);
-      }
+    BodyReader body(this->channel,
+                    this->order.Empty(),
+                    parser,
+                    this->maxBodyBytes,
+                    this->limits.maxHeaderBytes);
+    result = body.Read();
+    if (!result) {
+      return body.GaveWay() ? this->Refuse(HttpRequestError::OutOfMemory)
+                            : this->RejectRequest(result.error);
     }
     this->channel.ClearReadDeadline();
-    return this->HandleRequest(parser.release());
+    return this->HandleRequest(parser.release(), body.TakeHeld());
   }
 
   /// Ends reading after a disconnect or timeout.
@@ -175,6 +177,7 @@
       return false;
     }
     aParser.body_limit(limit);
+    this->maxBodyBytes = limit;
     if (!beast::iequals(head[http::field::expect], "100-continue")) {
       return true;
     }
@@ -195,7 +198,8 @@
   }
 
   /// Returns true if the connection may carry another request.
-  bool HandleRequest(http::request<http::string_body> aMessage)
+  bool HandleRequest(http::request<http::string_body> aMessage,
+                     HeldMemory aHeld)
   {
     if (this->state.KeepAliveStopped()) {
       return this->Refuse(HttpRequestError::Stopping);
@@ -205,17 +209,21 @@
     const Ticket ticket = this->order.Admit(
       { overlaps, !aMessage.keep_alive(), aMessage.body().size() });
     ++this->state.activeRequests;
-    const bool answered = this->turns.AwaitStart(ticket) &&
-                          this->Answer(ticket, std::move(aMessage));
+    const bool answered =
+      this->turns.AwaitStart(ticket) &&
+      this->Answer(ticket, std::move(aMessage), std::move(aHeld));
     --this->state.activeRequests;
     this->turns.Remove(ticket);
     return answered;
   }
 
-  bool Answer(Ticket aTicket, http::request<http::string_body> aMessage)
+  bool Answer(Ticket aTicket,
+              http::request<http::string_body> aMessage,
+              HeldMemory aHeld)
   {
     const unsigned version = aMessage.version();
     Request request = ToRequest(std::move(aMessage));
+    request.held = std::move(aHeld);
     const std::string method = request.method;
     DisconnectNotifier caller;
     this->turns.AddCaller(caller);
@@ -348,6 +356,8 @@
   HttpChannel channel;
   const HttpLimits& serverLimits;
   HttpLimits limits;
+  /// Largest body of the current request.
+  std::size_t maxBodyBytes = 0;
   const HttpHandler& handler;
   HttpServerState& state;
   RequestTurns turns;
@@ -378,9 +388,14 @@
     }
     beast::error_code error;
     aSocket.set_option(Tcp::no_delay(true), error);
+    if (ProcessMemory().Bounds().Bounded()) {
+      LimitReceiveBuffer(aSocket);
+    }
+    HeldMemory held(MemoryPart::Connections);
+    held.Account(kConnectionBytes);
     const std::shared_ptr<Connection> connection(
       new Connection(std::move(aSocket), aLimits, aHandler, aState),
-      [connections, &aState](Connection* aClosed) {
+      [connections, &aState, held = std::move(held)](Connection* aClosed) {
         connections->open.erase(aClosed);
         --aState.openConnections;
         delete aClosed;
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -4,6 +4,8 @@
 #include "baobab/decision/quarantine.hpp"
 #include "baobab/decision/retry_state.hpp"
 #include "baobab/net/clock.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
 #include "baobab/node/hedge.hpp"
 #include "baobab/node/responses.hpp"
 
@@ -120,6 +122,13 @@
       return this->Answer(std::move(aRequest), aCaller);
     },
     [](HttpRequestError aError) {
+      if (aError == HttpRequestError::OutOfMemory) {
+        ProcessMemory().RecordRefusal(MemoryPart::Requests);
+        Log(kOutOfMemory,
+            Name(MemoryPart::Requests),
+            ProcessMemory().Held(MemoryPart::Requests),
+            ProcessMemory().Total());
+      }
       return MarkNotRun(InvalidRequestResponse(aError));
     },
     [this] { return this->Limits(); },
@@ -254,7 +263,7 @@
     return NotRun{ RefusalReason::RegionFull,
                    "no target may be used in the regions of the call" };
   }
-  Outcome result = retryState.Result();
+  Outcome result = retryState.TakeResult();
   if (auto* refusal = std::get_if<NotRun>(&result)) {
     refusal->retried = refusal->retried || retryState.Attempts() > 1;
   }
