--- a/include/baobab/decision/outflow_window.hpp
+++ b/include/baobab/decision/outflow_window.hpp
@@ -14,13 +14,15 @@
   InTime,
   /// Handed back, refused, lost or late: there was less room than expected.
   NoRoom,
+  /// Cancelled, or failed by the target: this says nothing about the room.
+  Unrelated,
 };
 
 /// Limits the calls that one daemon has in flight to the targets of a service
 /// outside its availability zone, in the manner of a congestion window: each
-/// call that ends in time widens it a little, one that finds no room narrows it.
-/// Many daemons see the same stale load reports; without the limit all of them
-/// would send to the same free targets at once. Lock-free.
+/// call that ends in time widens it a little, one that finds no room narrows
+/// it. Many daemons see the same stale load reports; without the limit all of
+/// them would send to the same free targets at once. Lock-free.
 class OutflowWindow
 {
 public:
--- a/include/baobab/node/route_table.hpp
+++ b/include/baobab/node/route_table.hpp
@@ -48,6 +48,12 @@
   std::shared_ptr<const ConfiguredService> service;
   std::shared_ptr<ServiceState> state;
   std::array<std::vector<std::shared_ptr<TargetEntry>>, kTierCount> tiers;
+
+  bool HasTargets() const
+  {
+    return std::ranges::any_of(
+      this->tiers, [](const auto& aTier) { return !aTier.empty(); });
+  }
 };
 
 /// All routes and services of a configuration with the current targets.
--- a/src/baobab/decision/outflow_window.cpp
+++ b/src/baobab/decision/outflow_window.cpp
@@ -15,11 +15,18 @@
 void
 OutflowWindow::End(OutflowResult aResult, TimePoint aNow)
 {
-  this->inFlight.fetch_sub(1, std::memory_order_relaxed);
+  const std::int32_t sent =
+    this->inFlight.fetch_sub(1, std::memory_order_relaxed);
   const double before = this->limit.load(std::memory_order_relaxed);
+  if (aResult == OutflowResult::Unrelated) {
+    return;
+  }
   if (aResult == OutflowResult::InTime) {
-    this->limit.store(std::min(kMaxLimit, before + kIncrease / before),
-                      std::memory_order_relaxed);
+    // A window that is not used shows nothing about a wider one.
+    if (2 * sent >= before) {
+      this->limit.store(std::min(kMaxLimit, before + kIncrease / before),
+                        std::memory_order_relaxed);
+    }
     this->pause.store(kMinPause / 1ns, std::memory_order_relaxed);
     return;
   }
--- a/src/baobab/decision/tier_choice.cpp
+++ b/src/baobab/decision/tier_choice.cpp
@@ -9,8 +9,8 @@
 bool
 IsBetterPlace(const TierOffer& aOffer, const TierOffer& aNearest)
 {
-  return aOffer.hasRoom &&
-         aOffer.expectedTime + aOffer.penalty < aNearest.expectedTime;
+  return aOffer.hasRoom && aOffer.expectedTime + aOffer.penalty <
+                             aNearest.expectedTime + aNearest.penalty;
 }
 
 }
--- a/src/baobab/decision/tier_choice_test.cpp
+++ b/src/baobab/decision/tier_choice_test.cpp
@@ -71,6 +71,25 @@
   BOOST_TEST((ChooseTier({}, kTerms) == std::nullopt));
 }
 
+BOOST_AUTO_TEST_CASE(the_price_counts_against_that_of_the_nearest_tier)
+{
+  const std::array<TierOffer, 2> offers{
+    TierOffer{ Tier::SameRegion, 400ms, 100ms },
+    TierOffer{ Tier::OtherRegion, 290ms, 180ms }
+  };
+  BOOST_TEST((ChooseTier(offers, kTerms) == Tier::OtherRegion));
+}
+
+BOOST_AUTO_TEST_CASE(a_tier_without_room_is_passed_for_a_farther_one)
+{
+  const std::array<TierOffer, 3> offers{
+    TierOffer{ Tier::SameZone, 400ms },
+    TierOffer{ Tier::SameRegion, 100ms, 0ms, false },
+    TierOffer{ Tier::OtherRegion, 150ms }
+  };
+  BOOST_TEST((ChooseTier(offers, kTerms) == Tier::OtherRegion));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/src/baobab/node/attempt_runner.cpp
+++ b/src/baobab/node/attempt_runner.cpp
@@ -83,14 +83,28 @@
   }
 }
 
-/// Returns whether a call that left its zone found room there. A call that the
-/// target failed says nothing about the room.
+/// Returns whether a call that left its zone found room there.
 OutflowResult
-OutflowResultOf(const IngressCall& aCall, const Outcome& aOutcome)
+OutflowResultOf(const IngressCall& aCall,
+                const Outcome& aOutcome,
+                TimePoint aSentAt)
 {
-  const bool answered = std::holds_alternative<Answered>(aOutcome);
-  return answered && Now() <= aCall.terms.objective ? OutflowResult::InTime
-                                                    : OutflowResult::NoRoom;
+  if (const auto* answer = std::get_if<Answered>(&aOutcome)) {
+    // A call that was late already left its zone to meet its deadline.
+    const bool late = aSentAt >= aCall.terms.objective;
+    const bool inTime = late || Now() <= aCall.terms.objective;
+    return !IsSuccess(answer->response.status) ? OutflowResult::Unrelated
+           : inTime                            ? OutflowResult::InTime
+                                               : OutflowResult::NoRoom;
+  }
+  if (const auto* refusal = std::get_if<NotRun>(&aOutcome)) {
+    return refusal->reason == RefusalReason::Cancelled
+             ? OutflowResult::Unrelated
+             : OutflowResult::NoRoom;
+  }
+  return std::get<OutcomeUnknown>(aOutcome).cause == UnknownCause::Cancelled
+           ? OutflowResult::Unrelated
+           : OutflowResult::NoRoom;
 }
 
 void
@@ -172,7 +186,8 @@
       ->Run(aCall.request, terms, std::move(aPermit), &aCancellation);
   target.load.EndAttempt();
   if (aChosen.leaves) {
-    outflow.End(OutflowResultOf(aCall, result.outcome), Now());
+    outflow.End(OutflowResultOf(aCall, result.outcome, record.startedAt),
+                Now());
   }
   if (result.malformedPart) {
     Log(kPeerAnswerMalformed,
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -259,7 +259,8 @@
       break;
     }
   }
-  if (retryState.Attempts() == 0 && aCall.Regions().Confined()) {
+  if (retryState.Attempts() == 0 && aCall.Regions().Confined() &&
+      aCall.serviceRoute->HasTargets()) {
     return NotRun{ RefusalReason::RegionFull,
                    "no target may be used in the regions of the call" };
   }
--- a/src/baobab/node/route_table_test.cpp
+++ b/src/baobab/node/route_table_test.cpp
@@ -150,6 +150,93 @@
   BOOST_TEST(ChooseIsolated(*table->serviceRoutes[0], 77, {}).target == first);
 }
 
+/// A zone with one target, a second one in the region and a third one in
+/// another region.
+struct ThreeTiers
+{
+  ThreeTiers()
+  {
+    builder.Update(Member(1));
+    builder.Update(Member(2, { "perth", "south" }));
+    builder.Update(Member(3, { "south-west", "albany" }));
+    table = BuildWith(builder, ConfigurationOf(kServiceFile));
+    Route().state->crossRegionCallBudget.SetRate(1 << 20);
+  }
+
+  const ServiceRoute& Route() const { return *this->table->serviceRoutes[0]; }
+
+  /// Chooses for a call with an objective of 300 ms.
+  ChosenTarget Choose(const std::vector<Endpoint>& aTried = {})
+  {
+    ChoiceTerms terms{ 100ms, 600 };
+    terms.placement.objectiveMargin = 1.5;
+    terms.timeToObjective = 300ms;
+    terms.timeToDeadline = 1s;
+    return ChooseTarget(Route(), aTried, terms, random, kNow);
+  }
+
+  RouteTableBuilder builder{ kHere };
+  decltype(BuildWith(builder, ConfigurationOf(kServiceFile))) table;
+  SplitMix random{ 1 };
+};
+
+BOOST_FIXTURE_TEST_CASE(a_call_leaves_its_zone_to_meet_its_objective,
+                        ThreeTiers)
+{
+  const ChosenTarget near = Choose();
+  BOOST_TEST((near.tier == Tier::SameZone));
+  BOOST_TEST(!near.leaves);
+  BOOST_TEST((near.alternative >= Duration(200ms)));
+  Fill(*Route().tiers[0][0]);
+  const ChosenTarget far = Choose();
+  BOOST_TEST((far.tier == Tier::SameRegion));
+  BOOST_TEST(far.leaves);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_full_window_keeps_calls_in_their_zone, ThreeTiers)
+{
+  Fill(*Route().tiers[0][0]);
+  for (const Tier tier : { Tier::SameRegion, Tier::OtherRegion }) {
+    while (Route().state->Outflow(tier).HasRoom(kNow)) {
+      Route().state->Outflow(tier).Begin();
+    }
+  }
+  BOOST_TEST((Choose().tier == Tier::SameZone));
+}
+
+/// Guards against calls that are refused although their zone has a target.
+BOOST_FIXTURE_TEST_CASE(a_tier_that_cannot_be_used_leaves_the_nearer_ones,
+                        ThreeTiers)
+{
+  Fill(*Route().tiers[0][0]);
+  Fill(*Route().tiers[1][0]);
+  BOOST_TEST((Choose().tier == Tier::OtherRegion));
+  Route().state->crossRegionCallBudget.SetRate(0);
+  const ChosenTarget chosen = Choose();
+  BOOST_REQUIRE(chosen.target != nullptr);
+  BOOST_TEST((chosen.tier == Tier::SameZone));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_repeat_elsewhere_counts_as_leaving, ThreeTiers)
+{
+  const ChosenTarget repeat = Choose({ { 1, 7100 } });
+  BOOST_TEST((repeat.tier == Tier::SameRegion));
+  BOOST_TEST(repeat.leaves);
+}
+
+/// Guards against unpaid bytes of calls that have a home in their own region.
+BOOST_FIXTURE_TEST_CASE(the_budget_binds_calls_with_a_target_at_home,
+                        ThreeTiers)
+{
+  Fill(*Route().tiers[0][0]);
+  Fill(*Route().tiers[1][0]);
+  Route().state->crossRegionCallBudget.SetRate(0);
+  const std::vector<std::string> homes{ "perth", "south-west" };
+  const auto chosen =
+    ChooseTarget(Route(), {}, { 100ms, 600, {}, { homes, {} } }, random, kNow);
+  BOOST_TEST((chosen.tier != Tier::OtherRegion));
+}
+
 /// Guards against work that leaves the regions to which it is confined: also
 /// for repeats, with open breakers, without budget and for suspects.
 BOOST_AUTO_TEST_CASE(a_confined_call_is_served_only_in_its_regions)
--- a/src/baobab/node/target_chooser.cpp
+++ b/src/baobab/node/target_chooser.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 
 namespace baobab {
 namespace {
@@ -68,15 +69,20 @@
         this->AddCandidates(tier, aTerms, candidates, targets);
       }
     }
-    if (aTerms.placement.objectiveMargin > 0) {
-      this->KeepChosenTier(aTerms, candidates, targets);
+    const bool byObjective = aTerms.placement.objectiveMargin > 0;
+    if (byObjective) {
+      this->RankTiers(aTerms, candidates, targets);
     }
     while (!candidates.empty()) {
       const auto choice = ChooseFirstToFinish(candidates, this->random);
       ChosenTarget& chosen = targets[choice->index];
       if (this->TryReserve(chosen, aTerms)) {
         chosen.expectedTime = candidates[choice->index].expectedTime;
-        chosen.alternative = choice->alternative.value_or(Duration::zero());
+        chosen.alternative =
+          (byObjective
+             ? this->AlternativeTo(choice->index, aTerms, candidates, targets)
+             : choice->alternative)
+            .value_or(Duration::zero());
         return std::move(chosen);
       }
       const auto position = static_cast<std::ptrdiff_t>(choice->index);
@@ -86,51 +92,95 @@
     return {};
   }
 
-  /// Decides whether the call leaves its zone or region, and removes the
-  /// candidates of all other tiers.
-  void KeepChosenTier(const ChoiceTerms& aTerms,
-                      std::vector<Candidate>& aCandidates,
-                      std::vector<ChosenTarget>& aTargets)
+  /// Decides whether the call leaves its zone or region. The targets of other
+  /// tiers remain as a last resort, the nearest first.
+  void RankTiers(const ChoiceTerms& aTerms,
+                 std::vector<Candidate>& aCandidates,
+                 std::vector<ChosenTarget>& aTargets) const
   {
-    std::vector<TierOffer> offers;
+    // Longer than any expected time.
+    constexpr Duration kRank = 24h;
+    std::array<TierOffer, kTierCount> offers;
+    std::size_t count = 0;
     for (std::size_t i = 0; i < aCandidates.size(); ++i) {
       const Tier tier = aTargets[i].tier;
       const Duration time = aCandidates[i].expectedTime;
-      if (offers.empty() || offers.back().tier != tier) {
-        const bool nearest = offers.empty();
-        offers.push_back(
-          { tier,
-            time,
-            aCandidates[i].penalty,
-            nearest || this->route.state->Outflow(tier).HasRoom(this->now) });
+      if (count == 0 || offers[count - 1].tier != tier) {
+        offers[count++] = {
+          tier, time, aCandidates[i].penalty, this->HasRoom(tier)
+        };
       }
-      offers.back().expectedTime = std::min(offers.back().expectedTime, time);
+      TierOffer& offer = offers[count - 1];
+      offer.expectedTime = std::min(offer.expectedTime, time);
     }
-    const auto chosen = ChooseTier(offers,
-                                   { aTerms.timeToObjective,
-                                     aTerms.timeToDeadline,
-                                     aTerms.placement.objectiveMargin });
-    if (!chosen) {
-      return;
+    const auto chosen =
+      ChooseTier(std::span(offers).first(count),
+                 { aTerms.timeToObjective,
+                   aTerms.timeToDeadline,
+                   std::max(1.0, aTerms.placement.objectiveMargin) });
+    for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+      const Tier tier = aTargets[i].tier;
+      aTargets[i].leaves = tier != this->NearestTier();
+      if (tier != chosen) {
+        aCandidates[i].penalty += kRank * (1 + static_cast<int>(tier));
+      }
     }
-    const bool leaves = *chosen != offers.front().tier;
-    std::vector<Candidate> candidates;
-    std::vector<ChosenTarget> targets;
+  }
+
+  /// Returns the expected time at the best other target to which the call may
+  /// be moved. It is moved to another tier only if it is not safely in time in
+  /// its own, as in ChooseTier.
+  std::optional<Duration> AlternativeTo(
+    std::size_t aChosen,
+    const ChoiceTerms& aTerms,
+    const std::vector<Candidate>& aCandidates,
+    const std::vector<ChosenTarget>& aTargets) const
+  {
+    const Tier tier = aTargets[aChosen].tier;
+    const auto safeTime = std::chrono::duration_cast<Duration>(
+      aTerms.timeToObjective / std::max(1.0, aTerms.placement.objectiveMargin));
+    std::optional<Duration> best;
     for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-      if (aTargets[i].tier == *chosen) {
-        candidates.push_back(aCandidates[i]);
-        targets.push_back(std::move(aTargets[i]));
-        targets.back().leaves = leaves;
+      const Tier other = aTargets[i].tier;
+      if (i == aChosen || (other != tier && !this->HasRoom(other))) {
+        continue;
+      }
+      Duration time = aCandidates[i].expectedTime + PenaltyOf(other, aTerms) -
+                      PenaltyOf(tier, aTerms);
+      if (other != tier) {
+        time = std::max(time, safeTime);
+      }
+      best = std::min(best.value_or(time), time);
+    }
+    return best;
+  }
+
+  /// Returns the nearest tier with a target in the regions of the call, whether
+  /// it can be used at the moment or not.
+  Tier NearestTier() const
+  {
+    for (const Tier tier : { Tier::SameZone, Tier::SameRegion }) {
+      const Targets& targets =
+        this->route.tiers[static_cast<std::size_t>(tier)];
+      if (std::ranges::any_of(targets, [&](const auto& aTarget) {
+            return this->regions.Allows(aTarget->locality.region);
+          })) {
+        return tier;
       }
     }
-    aCandidates = std::move(candidates);
-    aTargets = std::move(targets);
+    return Tier::OtherRegion;
+  }
+
+  bool HasRoom(Tier aTier) const
+  {
+    return aTier == this->NearestTier() ||
+           this->route.state->Outflow(aTier).HasRoom(this->now);
   }
 
   /// Reserves an attempt at the target's circuit breaker and, if the target is
   /// in another region, in the call budget. Returns false if either refuses it.
-  /// A call that is confined to other regions has no choice, so the budget is
-  /// charged but does not refuse it.
+  /// The budget does not refuse a call that is confined to other regions, which
+  /// has no other place.
   bool TryReserve(const ChosenTarget& aChosen, const ChoiceTerms& aTerms)
   {
     if (!this->ignoreBreakers &&
@@ -140,13 +190,20 @@
     return aChosen.tier != Tier::OtherRegion ||
            this->route.state->crossRegionCallBudget.Charge(aTerms.bytes,
                                                            this->now) ||
-           this->regions.Confined();
+           this->MustLeaveRegion();
   }
 
   bool MayLeaveRegion() const
   {
     return this->route.service->spec.spill.crossRegion ||
-           this->regions.Confined();
+           this->MustLeaveRegion();
+  }
+
+  /// True if the call is confined to regions of which this one is none, or in
+  /// which it has no target.
+  bool MustLeaveRegion() const
+  {
+    return this->regions.Confined() && this->NearestTier() == Tier::OtherRegion;
   }
 
   void AddCandidates(Tier aTier,
@@ -228,7 +285,7 @@
     auto target = this->ChooseInTier(Tier::OtherRegion);
     if (!target || !(aOnlyOption || this->HasCapacity(*target)) ||
         !(this->route.state->crossRegionCallBudget.Charge(aBytes, this->now) ||
-          this->regions.Confined())) {
+          this->MustLeaveRegion())) {
       return nullptr;
     }
     return target;
