Quotas: datagrams, the agent that borrows and lends, and the gate for calls

Cause: the decision code needs messages, timers and a place on the path of a request. Change: compact datagrams on the gossip socket; QuotaAgent on the control thread; QuotaGate, where a call takes a token without a lock; metrics and log events. A lender that shuts down releases its voters. Ingress holds the gate but does not ask it yet: it does not know the workspace of a call here.

--- a/include/baobab/core/workspace.hpp
+++ b/include/baobab/core/workspace.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace baobab {
@@ -30,4 +31,7 @@
 /// Identifies a workspace in messages between daemons; 0: none.
 using WorkspaceId = std::uint64_t;
 
+/// Returns the ID of a workspace. It is the same in every daemon.
+WorkspaceId IdOfWorkspace(std::string_view aName);
+
 }
--- a/include/baobab/decision/membership.hpp
+++ b/include/baobab/decision/membership.hpp
@@ -137,6 +137,9 @@
   const MemberRecord& Self() const { return this->self; }
   std::size_t Size() const { return this->members.size() + 1; }
 
+  /// Number of peers that were added as seeds.
+  std::size_t SeedCount() const { return this->seeds.size(); }
+
   /// How often another daemon claimed this daemon's address.
   std::uint64_t AddressConflicts() const { return this->addressConflicts; }
 
--- a/include/baobab/decision/quota_borrower.hpp
+++ b/include/baobab/decision/quota_borrower.hpp
@@ -69,6 +69,7 @@
   {
     /// Mean number of calls in a period.
     double mean = 0;
+    TimePoint measuredAt;
   };
 
   bool IsMissing(TimePoint aNow) const;
@@ -77,6 +78,7 @@
   void UpdateBond(const QuotaReply& aReply, TimePoint aNow);
   Endpoint Candidate(TimePoint aNow) const;
   Endpoint FirstHop(Endpoint aLender, bool aMissing);
+  QuotaNeed NeedOf(WorkspaceId aWorkspace, QuotaCell& aCell, TimePoint aNow);
   std::vector<QuotaNeed> Needs(TimePoint aNow);
 
   Endpoint self;
@@ -103,10 +105,12 @@
   /// Times of the last requests, by their sequence.
   std::array<TimePoint, kSendTimes> sendTimes;
   TimePoint unansweredSince;
-  TimePoint demandAt;
   std::uint32_t unanswered = 0;
   std::size_t nextRelay = 0;
   std::optional<Endpoint> relay;
+  /// Last workspace in the last message, and true if others did not fit.
+  WorkspaceId lastNeed = 0;
+  bool moreNeeds = false;
   bool active = false;
 };
 
--- a/include/baobab/decision/quota_cell.hpp
+++ b/include/baobab/decision/quota_cell.hpp
@@ -112,6 +112,8 @@
 
   /// Calls that wait for a token.
   std::atomic<std::int64_t> waiting{ 0 };
+  /// Calls refused for the limit since they were last logged.
+  std::atomic<std::uint64_t> refused{ 0 };
 
 private:
   std::atomic<std::uint32_t> period{ 0 };
--- a/include/baobab/decision/quota_message.hpp
+++ b/include/baobab/decision/quota_message.hpp
@@ -80,6 +80,8 @@
   QuotaStamp stamp;
   /// True if the lender has the votes of a majority and lends.
   bool lends = false;
+  /// True if the lender never lends again; votes for it no longer bind.
+  bool leaving = false;
   std::vector<QuotaLoan> loans;
 
   bool operator==(const QuotaReply&) const = default;
--- a/include/baobab/decision/quota_terms.hpp
+++ b/include/baobab/decision/quota_terms.hpp
@@ -5,6 +5,7 @@
 #include "baobab/core/time.hpp"
 #include "baobab/core/workspace.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 
@@ -19,6 +20,9 @@
 /// Time for which a vote binds its voter, from the sending of the vote.
 constexpr Duration kVoteLife = 1200ms;
 
+/// Maximum number of workspaces in a message, so that it fits into a datagram.
+constexpr std::size_t kMaxQuotaEntries = 56;
+
 /// Limit of a workspace for all daemons together.
 struct QuotaLimit
 {
--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -324,6 +324,38 @@
               LogField{ "datagrams", "number since the last such line" } }
 };
 
+// Quotas.
+
+inline constexpr LogEvent kQuotaLender{
+  "quota_lender",
+  "quota",
+  LogLevel::Info,
+  LogDropPolicy::DropLast,
+  "This daemon borrows the tokens of limited workspaces from another lender.",
+  std::array{ LogField{ "lender", "peer address of the lender" } }
+};
+
+inline constexpr LogEvent kQuotaExceeded{
+  "quota_exceeded",
+  "quota",
+  LogLevel::Warning,
+  LogDropPolicy::DropLast,
+  "Calls of a workspace were refused because all daemons together have let in "
+  "as many as its limit allows.",
+  std::array{ LogField{ "workspace", "name of the workspace" },
+              LogField{ "calls", "number since the last such line" } }
+};
+
+inline constexpr LogEvent kQuotaMessageRefused{
+  "quota_message_refused",
+  "quota",
+  LogLevel::Warning,
+  LogDropPolicy::DropFirst,
+  "Received datagrams about quotas could not be decoded.",
+  std::array{ LogField{ "reason", "why" },
+              LogField{ "datagrams", "number since the last such line" } }
+};
+
 inline constexpr LogEvent kExchangeFailed{
   "exchange_failed",
   "members",
--- a/include/baobab/node/daemon_metrics.hpp
+++ b/include/baobab/node/daemon_metrics.hpp
@@ -6,6 +6,7 @@
 #include "baobab/decision/store_freshness.hpp"
 #include "baobab/node/gossip_agent.hpp"
 #include "baobab/node/metrics.hpp"
+#include "baobab/node/quota_agent.hpp"
 #include "baobab/node/route_table.hpp"
 
 #include <cstddef>
@@ -33,6 +34,11 @@
 
 void AddControlMetrics(MetricsPage& aPage, const ControlStats& aStats);
 
+/// Adds the totals of all quotas.
+void AddQuotaMetrics(MetricsPage& aPage,
+                     QuotaAgent& aQuotas,
+                     const QuotaGate& aGate);
+
 /// Adds the number of routable targets and the budgets of each service.
 void AddRouteMetrics(MetricsPage& aPage, const RouteTable& aTable);
 
--- a/include/baobab/node/gossip_agent.hpp
+++ b/include/baobab/node/gossip_agent.hpp
@@ -70,6 +70,9 @@
   void Reply(const std::shared_ptr<FrameConnection>& aFrames,
              const TableRequestMessage& aRequest);
 
+  /// Sends a datagram that is not gossip.
+  void SendDatagram(const Endpoint& aTo, std::string_view aBytes);
+
   const GossipCounts& Counts() const { return this->counts; }
   std::uint64_t StoreCalls() const { return this->store->Calls(); }
 
@@ -78,6 +81,9 @@
   /// Called after a datagram with suspicions, which may change routing.
   std::function<void()> onSuspicions;
 
+  /// Called with a datagram about quotas and its sender.
+  std::function<void(std::span<const std::uint8_t>, const Endpoint&)> onQuota;
+
 private:
   void Handle(std::span<const std::uint8_t> aBytes);
   bool ReadSeeds();
--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -7,6 +7,7 @@
 #include "baobab/node/attempt_runner.hpp"
 #include "baobab/node/call_stats.hpp"
 #include "baobab/node/rcu_cell.hpp"
+#include "baobab/node/quota_gate.hpp"
 #include "baobab/node/watched_attempts.hpp"
 
 #include <string>
@@ -20,6 +21,7 @@
 public:
   Ingress(boost::asio::io_context& aContext,
           const RcuCell<RouteTable>& aRoutes,
+          QuotaGate& aQuotas,
           LinkIdentity aIdentity,
           const Settings& aSettings);
 
@@ -44,6 +46,7 @@
   void UpdateLoad(const Endpoint& aEndpoint, const LoadReport& aLoad);
 
   const RcuCell<RouteTable>& routes;
+  QuotaGate& quotas;
   const Settings& settings;
   AttemptRunner runner;
   WatchedAttempts watchedAttempts;
--- a/include/baobab/node/ingress_pool.hpp
+++ b/include/baobab/node/ingress_pool.hpp
@@ -6,6 +6,7 @@
 #include "baobab/core/settings.hpp"
 #include "baobab/net/http_server.hpp"
 #include "baobab/node/call_stats.hpp"
+#include "baobab/node/quota_gate.hpp"
 #include "baobab/node/rcu_cell.hpp"
 #include "baobab/node/route_table.hpp"
 
@@ -21,7 +22,9 @@
 class IngressPool
 {
 public:
-  IngressPool(const RcuCell<RouteTable>& aRoutes, const Settings& aSettings);
+  IngressPool(const RcuCell<RouteTable>& aRoutes,
+              QuotaGate& aQuotas,
+              const Settings& aSettings);
   ~IngressPool();
 
   /// Opens a listening socket for each worker. Fails with System.
@@ -56,6 +59,7 @@
   void Serve(IngressWorker& aWorker);
 
   const RcuCell<RouteTable>& routes;
+  QuotaGate& quotas;
   const Settings& settings;
   HttpLimits limits;
   std::vector<std::unique_ptr<IngressWorker>> workers;
--- a/src/baobab/decision/quota_borrower.cpp
+++ b/src/baobab/decision/quota_borrower.cpp
@@ -55,7 +55,6 @@
   , run(aRun)
   , startedAt(aNow)
   , ranked({ aSelf })
-  , demandAt(aNow)
 {
 }
 
@@ -123,7 +122,7 @@
   if (this->IsMissing(aNow)) {
     return passed >= kRepeatPeriod;
   }
-  return this->voteDue ||
+  return this->voteDue || this->moreNeeds ||
          passed >= (this->active ? kQuotaPeriod : kIdlePeriod) ||
          (aUrgent && passed >= kUrgentPeriod);
 }
@@ -218,47 +217,53 @@
   return send;
 }
 
-/// Measures the demand, gives back what exceeds it, and returns the needs of
-/// all workspaces that hold or need tokens.
+/// Measures the demand for a workspace, and gives back tokens that exceed it.
+QuotaNeed
+QuotaBorrower::NeedOf(WorkspaceId aWorkspace, QuotaCell& aCell, TimePoint aNow)
+{
+  Demand& demand = this->demands[aWorkspace];
+  const double periods =
+    std::chrono::duration<double>(aNow - demand.measuredAt) /
+    std::chrono::duration<double>(kQuotaPeriod);
+  demand.measuredAt = aNow;
+  const auto calls = static_cast<double>(aCell.TakeCalls());
+  const double weight = 1 - std::pow(1 - kSmoothing, periods);
+  demand.mean += weight * (calls / std::max(periods, 1e-3) - demand.mean);
+  aCell.StartPeriod();
+  if (aCell.IsExpired(aNow)) {
+    aCell.Clear();
+  }
+  std::int64_t want = aCell.waiting.load(std::memory_order_relaxed);
+  if (demand.mean >= kMinDemand) {
+    want += static_cast<std::int64_t>(std::ceil(demand.mean * kHeldPeriods));
+  }
+  const std::int64_t returned = aCell.Remove(aCell.Tokens() - want);
+  const std::int64_t held = std::max<std::int64_t>(0, aCell.Tokens());
+  return { aWorkspace,
+           static_cast<std::uint32_t>(want),
+           static_cast<std::uint32_t>(held),
+           static_cast<std::uint32_t>(returned) };
+}
+
+/// Returns the needs of the workspaces that hold or need tokens. If they do not
+/// fit into one message, the next one follows at once with the others.
 std::vector<QuotaNeed>
 QuotaBorrower::Needs(TimePoint aNow)
 {
-  const double periods = std::chrono::duration<double>(aNow - this->demandAt) /
-                         std::chrono::duration<double>(kQuotaPeriod);
-  this->demandAt = aNow;
-  const double weight = 1 - std::pow(1 - kSmoothing, periods);
-  this->active = false;
   std::vector<QuotaNeed> needs;
-  for (const auto& [workspace, cell] : this->cells) {
-    Demand& demand = this->demands[workspace];
-    const auto calls = static_cast<double>(cell->TakeCalls());
-    if (calls == 0 && demand.mean == 0 && cell->Tokens() <= 0) {
-      continue;
-    }
-    demand.mean += weight * (calls / std::max(periods, 1e-3) - demand.mean);
-    if (demand.mean < 1e-2) {
-      demand.mean = 0;
-    }
-    cell->StartPeriod();
-    if (cell->IsExpired(aNow)) {
-      cell->Clear();
-    }
-    const auto spare =
-      demand.mean < kMinDemand
-        ? 0
-        : static_cast<std::int64_t>(std::ceil(demand.mean * kHeldPeriods));
-    const std::int64_t want =
-      spare + cell->waiting.load(std::memory_order_relaxed);
-    const std::int64_t returned = cell->Remove(cell->Tokens() - want);
-    const std::int64_t held = std::max<std::int64_t>(0, cell->Tokens());
-    if (want > 0 || held > 0 || returned > 0) {
-      needs.push_back({ workspace,
-                        static_cast<std::uint32_t>(want),
-                        static_cast<std::uint32_t>(held),
-                        static_cast<std::uint32_t>(returned) });
-      this->active = true;
+  auto cell = this->cells.upper_bound(this->lastNeed);
+  for (; cell != this->cells.end() && needs.size() < kMaxQuotaEntries; ++cell) {
+    const QuotaNeed need = this->NeedOf(cell->first, *cell->second, aNow);
+    if (need.want > 0 || need.held > 0 || need.returned > 0) {
+      needs.push_back(need);
     }
+    this->lastNeed = cell->first;
   }
+  this->moreNeeds = cell != this->cells.end();
+  if (!this->moreNeeds) {
+    this->lastNeed = 0;
+  }
+  this->active = !needs.empty() || this->moreNeeds;
   return needs;
 }
 
@@ -275,8 +280,14 @@
   this->answered = aReply.sequence;
   this->unanswered = this->sequence - aReply.sequence;
   this->unansweredSince = this->sentAt;
-  this->silentUntil.erase(aReply.lender);
   this->asked.reset();
+  if (aReply.leaving) {
+    this->silentUntil[aReply.lender] = aNow + kAvoidance;
+    this->bond.reset();
+    this->voteDue = true;
+    return;
+  }
+  this->silentUntil.erase(aReply.lender);
   this->UpdateBond(aReply, aNow);
   const TimePoint expiresAt =
     this->sendTimes[aReply.sequence % kSendTimes] + kLoanLife;
--- a/src/baobab/decision/quota_lender.cpp
+++ b/src/baobab/decision/quota_lender.cpp
@@ -223,6 +223,7 @@
   reply.sequence = aRequest.sequence;
   reply.stamp = { this->run,
                   static_cast<std::uint32_t>((aNow - this->startedAt) / 1ms) };
+  reply.leaving = this->leaving;
   Borrower& borrower = this->borrowers[aRequest.borrower];
   const bool sameRun = borrower.run == aRequest.run;
   if (sameRun && aRequest.sequence <= borrower.sequence) {
--- a/src/baobab/decision/quota_test.cpp
+++ b/src/baobab/decision/quota_test.cpp
@@ -77,6 +77,7 @@
     this->PublishLimits(aDaemon);
   }
 
+  void Leave(std::size_t aDaemon) { this->daemons[aDaemon].lender->Leave(); }
   void Stop(std::size_t aDaemon) { this->daemons[aDaemon].down = true; }
   void Pause(std::size_t aDaemon) { this->daemons[aDaemon].paused = true; }
   void Wake(std::size_t aDaemon) { this->daemons[aDaemon].paused = false; }
@@ -473,7 +474,7 @@
         if (UniformBelow(random, 2) == 0 && lender < fleet.Size()) {
           victim = lender;
         }
-        switch (UniformBelow(random, 8)) {
+        switch (UniformBelow(random, 9)) {
           case 0:
             fleet.Stop(victim);
             break;
@@ -498,6 +499,9 @@
             fleet.Start(victim);
             break;
           case 6:
+            fleet.Leave(victim);
+            break;
+          case 7:
             fleet.SetLimit(0,
                            { UniformBelow(random, 2) == 0 ? 60.0 : 300, 20 });
             break;
@@ -525,6 +529,18 @@
   BOOST_TEST(fleet.Refused(2, from) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(a_lender_that_leaves_is_replaced_within_two_seconds)
+{
+  Fleet fleet(19, MixedLoads(), 6);
+  fleet.Run(kStartSteps);
+  const std::size_t lender = fleet.Lender();
+  BOOST_REQUIRE_LT(lender, fleet.Size());
+  fleet.Leave(lender);
+  fleet.Run(2 * kStepsPerSecond);
+  BOOST_TEST(fleet.Lender() != lender);
+  BOOST_TEST(fleet.Lender() < fleet.Size());
+}
+
 BOOST_AUTO_TEST_CASE(a_lender_that_wakes_does_not_lend_the_tokens_of_its_pause)
 {
   Fleet fleet(19, MixedLoads(), 4);
@@ -644,6 +660,25 @@
   BOOST_TEST(revoted);
 }
 
+BOOST_AUTO_TEST_CASE(needs_that_do_not_fit_follow_in_the_next_request)
+{
+  QuotaBorrower borrower(EndpointOf(0), 1, kStart);
+  QuotaCells cells;
+  constexpr std::size_t kCells = 72;
+  for (WorkspaceId id = 1; id <= kCells; ++id) {
+    cells[id] = std::make_shared<QuotaCell>();
+    cells[id]->waiting = 1;
+  }
+  borrower.SetCells(cells);
+  const auto first = borrower.Poll(kStart + 1s, true);
+  const auto second = borrower.Poll(kStart + 1s + kStep, true);
+  BOOST_REQUIRE(first.has_value());
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST(first->request.needs.size() == kMaxQuotaEntries);
+  BOOST_TEST(second->request.needs.size() == kCells - kMaxQuotaEntries);
+  BOOST_TEST(!borrower.Poll(kStart + 1s + 2 * kStep, false).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(an_earlier_run_may_have_voted)
 {
   QuotaBorrower borrower(EndpointOf(0), 1, kStart);
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -15,6 +15,7 @@
 #include "baobab/node/metrics.hpp"
 #include "baobab/node/peer_server.hpp"
 #include "baobab/node/quarantine_agent.hpp"
+#include "baobab/node/quota_agent.hpp"
 #include "baobab/node/route_publisher.hpp"
 #include "baobab/node/status_agent.hpp"
 
@@ -139,7 +140,12 @@
         [this] { return this->Counts(); },
         [this] { return this->config.Generation(); },
         this->settings)
-    , ingress(this->routes, this->settings)
+    , quotas(this->membership,
+             this->quotaGate,
+             [this](const Endpoint& aTo, std::string_view aBytes) {
+               this->gossip.SendDatagram(aTo, aBytes);
+             })
+    , ingress(this->routes, this->quotaGate, this->settings)
     , adminServerState(kMaxAdminConnections)
     , reloader(aSettings, std::move(aReader), [this](const Settings& aNext) {
       SetLogLevel(aNext.logLevel);
@@ -202,6 +208,7 @@
   void StartControl()
   {
     this->config.onAdopted = [this](std::uint64_t aGeneration) {
+      this->quotas.SetConfiguration(*this->publisher.CurrentConfiguration());
       this->membership.SetGeneration(aGeneration);
       this->gossip.Send(this->membership.PushUpdates());
     };
@@ -209,6 +216,18 @@
                                        std::uint64_t aGeneration) {
       this->config.OnPeerGeneration(aPeer, aGeneration);
     };
+    this->gossip.onQuota = [this](std::span<const std::uint8_t> aBytes,
+                                  const Endpoint& aFrom) {
+      this->quotas.Handle(aBytes, aFrom);
+    };
+    this->quotaGate.onWaiting = [this] {
+      if (!this->quotaPollPosted.exchange(true)) {
+        this->control.Post([this] {
+          this->quotaPollPosted = false;
+          this->quotas.OnWaiting();
+        });
+      }
+    };
     this->gossip.onSuspicions = [this] {
       this->publisher.MarkChanged();
       this->quarantineAgent.OnSuspicions();
@@ -233,6 +252,7 @@
     Spawn([this] { this->config.Run(); });
     Spawn([this] { this->config.RunAudits(); });
     Spawn([this] { this->quarantineAgent.Run(); });
+    Spawn([this] { this->quotas.Run(); });
     Spawn([this] { this->status.RunReports(); });
     Spawn([this] { this->status.RunAggregation(); });
     Spawn([this] { this->RunTimers(); });
@@ -440,6 +460,7 @@
         this->membership,
         this->callerConnections,
         this->timerDelays });
+    AddQuotaMetrics(page, this->quotas, this->quotaGate);
     this->routes.Read(
       [&](const RouteTable& aTable) { AddRouteMetrics(page, aTable); });
     return page.Text();
@@ -452,6 +473,7 @@
     }
     this->draining = true;
     Log(kDraining, this->calls.InFlight());
+    this->quotas.Leave();
     this->calls.StartShutdown();
     this->PublishTargetState();
     const ShutdownTimes times = ShutdownTimesOf(this->settings.timeouts);
@@ -491,6 +513,9 @@
   CallServer calls;
   PeerServer peers;
   StatusAgent status;
+  QuotaGate quotaGate;
+  QuotaAgent quotas;
+  std::atomic<bool> quotaPollPosted{ false };
   IngressPool ingress;
   HttpLimits limits;
   HttpHandler adminHandler;
--- a/src/baobab/node/daemon_metrics.cpp
+++ b/src/baobab/node/daemon_metrics.cpp
@@ -82,6 +82,25 @@
   add("process_cpu_seconds_total", CpuSeconds());
 }
 
+void
+AddQuotaMetrics(MetricsPage& aPage, QuotaAgent& aQuotas, const QuotaGate& aGate)
+{
+  const auto add =
+    [&](std::string_view aName, std::string_view aLabels, auto aValue) {
+      aPage.Add(aName, aLabels, static_cast<double>(aValue));
+    };
+  const QuotaCounts& counts = aQuotas.Counts();
+  add("quota_refused_total", "reason=\"over_quota\"", aGate.OverQuotaCalls());
+  add("quota_refused_total", "reason=\"no_lender\"", aGate.NoLenderCalls());
+  add("quota_lender", "", aQuotas.Lends() ? 1 : 0);
+  add("quota_lent_tokens", "", aQuotas.Lent());
+  add("quota_held_tokens", "", aQuotas.Held());
+  add("quota_sent_total", "", counts.sent);
+  add("quota_sent_bytes_total", "", counts.sentBytes);
+  add("quota_received_total", "", counts.received);
+  AddDrops(aPage, "quota_invalid_total", counts.refused);
+}
+
 void
 AddRouteMetrics(MetricsPage& aPage, const RouteTable& aTable)
 {
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -7,6 +7,7 @@
 #include "baobab/net/manifest_json.hpp"
 #include "baobab/net/worker.hpp"
 #include "baobab/wire/gossip_codec.hpp"
+#include "baobab/wire/quota_codec.hpp"
 
 #include <algorithm>
 #include <array>
@@ -93,8 +94,14 @@
     const IoResult received = Await([&](auto aHandler) {
       this->socket.async_receive_from(asio::buffer(buffer), from, aHandler);
     });
-    if (received) {
-      this->Handle({ buffer.data(), received.bytes });
+    if (!received) {
+      continue;
+    }
+    const std::span<const std::uint8_t> bytes(buffer.data(), received.bytes);
+    if (this->onQuota && IsQuotaDatagram(bytes)) {
+      this->onQuota(bytes, { from.address().to_v4().to_uint(), from.port() });
+    } else {
+      this->Handle(bytes);
     }
   }
 }
@@ -168,6 +175,16 @@
   }
 }
 
+void
+GossipAgent::SendDatagram(const Endpoint& aTo, std::string_view aBytes)
+{
+  boost::system::error_code error;
+  this->socket.send_to(asio::buffer(aBytes), ToUdp(aTo), 0, error);
+  if (error) {
+    this->counts.unsent.Record(error.message(), Now());
+  }
+}
+
 void
 GossipAgent::RunExchanges()
 {
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -67,9 +67,11 @@
 
 Ingress::Ingress(boost::asio::io_context& aContext,
                  const RcuCell<RouteTable>& aRoutes,
+                 QuotaGate& aQuotas,
                  LinkIdentity aIdentity,
                  const Settings& aSettings)
   : routes(aRoutes)
+  , quotas(aQuotas)
   , settings(aSettings)
   , runner(
       aContext,
