--- a/src/baobab/decision/quota_borrower.cpp
+++ b/src/baobab/decision/quota_borrower.cpp
@@ -33,6 +33,9 @@
 
 constexpr double kSmoothing = 0.3;
 
+/// Number of requests after which the direct way is tried again.
+constexpr std::uint32_t kDirectInterval = 64;
+
 void
 Accept(const QuotaLoan& aLoan,
        QuotaCell& aCell,
@@ -163,6 +166,9 @@
 Endpoint
 QuotaBorrower::FirstHop(Endpoint aLender, bool aMissing)
 {
+  if (this->sequence % kDirectInterval == 0) {
+    this->relay.reset();
+  }
   if (!aMissing) {
     return this->relay.value_or(aLender);
   }
--- a/src/baobab/decision/quota_test.cpp
+++ b/src/baobab/decision/quota_test.cpp
@@ -136,6 +136,8 @@
   std::uint64_t Datagrams() const { return this->sent; }
 
   double loss = 0;
+  /// True if part 2 reaches parts 0 and 1, which do not reach each other.
+  bool bridged = false;
 
 private:
   struct Datagram
@@ -165,6 +167,11 @@
     std::vector<Waiting> waiting;
   };
 
+  bool IsLinked(int aPart, int aOther) const
+  {
+    return aPart == aOther || (this->bridged && (aPart == 2 || aOther == 2));
+  }
+
   TimePoint TimeAt(std::size_t aDaemon) const
   {
     return TimePoint() + 10s + this->step * kStep +
@@ -196,7 +203,8 @@
     }
     std::vector<Endpoint> members;
     for (std::size_t i = 0; i < this->daemons.size(); ++i) {
-      if (!this->daemons[i].down && this->daemons[i].part == self.part) {
+      if (!this->daemons[i].down &&
+          (this->bridged || this->daemons[i].part == self.part)) {
         members.push_back(EndpointOf(i));
       }
     }
@@ -212,7 +220,8 @@
     }
     ++this->sent;
     Daemon& receiver = this->daemons[to];
-    if (receiver.down || receiver.part != this->daemons[aFrom].part ||
+    if (receiver.down ||
+        !this->IsLinked(receiver.part, this->daemons[aFrom].part) ||
         UniformFraction(this->random) < this->loss) {
       return;
     }
@@ -557,6 +566,24 @@
   BOOST_TEST(fleet.Lender() == next);
 }
 
+BOOST_AUTO_TEST_CASE(two_zones_that_do_not_reach_each_other_share_a_lender)
+{
+  Fleet fleet(21, MixedLoads(), 7);
+  fleet.Run(kStartSteps);
+  const std::size_t lender = fleet.Lender();
+  BOOST_REQUIRE_LT(lender, fleet.Size());
+  fleet.bridged = true;
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    fleet.PutInPart((lender + i) % fleet.Size(), static_cast<int>(i % 3));
+  }
+  fleet.Run(3 * kStepsPerSecond);
+  const int from = fleet.StepNumber();
+  fleet.Run(20 * kStepsPerSecond);
+  BOOST_TEST(fleet.Lender() < fleet.Size());
+  BOOST_TEST(static_cast<double>(fleet.Refused(0, from)) <=
+             0.01 * static_cast<double>(fleet.Admitted(0, from)));
+}
+
 BOOST_AUTO_TEST_CASE(the_smaller_part_of_a_fleet_lends_nothing)
 {
   Fleet fleet(19, MixedLoads(), 5);
