Quotas: a daemon that leaves alone does not ask itself without end

Cause: the only candidate, itself, was asked again at once after its reply that it leaves, and replied at once: a recursion without end during a shutdown. Change: another request follows at once only if there is another candidate.

--- a/src/baobab/decision/quota_borrower.cpp
+++ b/src/baobab/decision/quota_borrower.cpp
@@ -290,7 +290,7 @@
   if (aReply.leaving) {
     this->silentUntil[aReply.lender] = aNow + kAvoidance;
     this->bond.reset();
-    this->voteDue = true;
+    this->voteDue = this->Candidate(aNow) != aReply.lender;
     return;
   }
   this->silentUntil.erase(aReply.lender);
--- a/src/baobab/decision/quota_test.cpp
+++ b/src/baobab/decision/quota_test.cpp
@@ -706,6 +706,19 @@
   BOOST_TEST(!borrower.Poll(kStart + 1s + 2 * kStep, false).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(the_only_lender_is_not_asked_again_at_once_when_it_leaves)
+{
+  QuotaBorrower borrower(EndpointOf(0), 1, kStart);
+  borrower.SetCells({ { kWorkspace, std::make_shared<QuotaCell>() } });
+  const auto send = borrower.Poll(kStart + 1s, false);
+  BOOST_REQUIRE(send.has_value());
+  QuotaReply reply = ReplyTo(send->request, 0, 0);
+  reply.leaving = true;
+  borrower.OnReply(reply, kStart + 1s);
+  BOOST_TEST(!borrower.Poll(kStart + 1s, false).has_value());
+  BOOST_TEST(borrower.Poll(kStart + 2s, false).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(an_earlier_run_may_have_voted)
 {
   QuotaBorrower borrower(EndpointOf(0), 1, kStart);
