--- a/cmake/baobab_options.cmake
+++ b/cmake/baobab_options.cmake
@@ -41,4 +41,5 @@
 find_package(gflags REQUIRED)
 find_library(URCU_LIBRARY urcu-memb REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_library(MD_LIBRARY md REQUIRED)
 find_library(FLATBUFFERS_LIBRARY flatbuffers REQUIRED)
--- a/include/baobab/core/workspace.hpp
+++ b/include/baobab/core/workspace.hpp
@@ -2,8 +2,13 @@
 /// Workspaces: groups of callers that share keys, a priority and a quota.
 #pragma once
 
+#include "baobab/core/error.hpp"
+#include "baobab/core/schema.hpp"
+
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace baobab {
@@ -30,4 +35,17 @@
 /// Identifies a workspace in messages between daemons; 0: none.
 using WorkspaceId = std::uint64_t;
 
+/// Returns the ID of the workspace with a name. It is the same in all daemons
+/// and never 0.
+WorkspaceId IdOfWorkspace(std::string_view aName);
+
+/// Returns the schema of an entry of `workspaces` in a service file.
+const std::vector<Field<WorkspaceSpec>>& WorkspaceSchema();
+
+/// Checks workspaces that apply at the same time: each has a name of its own
+/// that fits in a header, and each key belongs to one workspace. Returns the
+/// first error, without its location.
+std::optional<Error> CheckWorkspaces(
+  const std::vector<WorkspaceSpec>& aWorkspaces);
+
 }
--- a/include/baobab/decision/configuration.hpp
+++ b/include/baobab/decision/configuration.hpp
@@ -50,7 +50,8 @@
   /// if its generation is not higher than this one; with MissingKey, which
   /// means that the whole configuration is needed, if it begins after this
   /// generation or its digest does not match the result; with other errors if
-  /// files are missing, do not match their hashes or are invalid.
+  /// files are missing, do not match their hashes or are invalid, or if
+  /// workspaces of different files conflict.
   Result<Configuration> Apply(const ConfigDelta& aDelta) const;
 
   /// Returns a hash of the services that are not retired.
--- a/src/baobab/core/reference_test.cpp
+++ b/src/baobab/core/reference_test.cpp
@@ -36,6 +36,13 @@
              std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(service_file_page_matches_the_workspace_schema)
+{
+  BOOST_TEST(
+    ReadPage("SERVICE_FILE.md").find(ReferenceTable(WorkspaceSchema())) !=
+    std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(settings_page_matches_the_schema)
 {
   BOOST_TEST(ReadPage("SETTINGS.md").find(ReferenceTable(SettingsSchema())) !=
--- a/src/baobab/core/service.cpp
+++ b/src/baobab/core/service.cpp
@@ -9,45 +9,56 @@
 namespace baobab {
 namespace {
 
-/// Splits a key such as `routes.0.host` into the index of the route and the key
-/// within the route. Returns nothing if the key does not belong to a route.
+constexpr std::string_view kRoutes = "routes.";
+constexpr std::string_view kWorkspaces = "workspaces.";
+
+/// Splits a key such as `routes.0.host` into the index of the item and the key
+/// within the item. Returns nothing if the key does not belong to the list.
+/// @param aList key of the list and a dot
 std::optional<std::pair<std::size_t, std::string>>
-SplitRouteKey(const std::string& aKey)
+SplitItemKey(std::string_view aList, const std::string& aKey)
 {
-  constexpr std::string_view kPrefix = "routes.";
   std::size_t index = 0;
   const char* last = aKey.data() + aKey.size();
-  if (!aKey.starts_with(kPrefix)) {
+  if (!aKey.starts_with(aList)) {
     return std::nullopt;
   }
   const auto [end, code] =
-    std::from_chars(aKey.data() + kPrefix.size(), last, index);
+    std::from_chars(aKey.data() + aList.size(), last, index);
   if (code != std::errc{} || end == last || *end != '.') {
     return std::nullopt;
   }
   return std::pair(index, std::string(end + 1, last));
 }
 
-Result<std::vector<RouteSpec>>
-ReadRoutes(const std::vector<TomlEntry>& aEntries, std::string_view aFile)
+/// Reads the items of a list and removes their entries.
+template<class T>
+Result<std::vector<T>>
+TakeItems(std::string_view aList,
+          const std::vector<Field<T>>& aSchema,
+          std::vector<TomlEntry>& aEntries,
+          std::string_view aFile)
 {
   std::map<std::size_t, std::vector<TomlEntry>> grouped;
   for (const TomlEntry& entry : aEntries) {
-    if (auto key = SplitRouteKey(entry.key)) {
-      TomlEntry routeEntry = entry;
-      routeEntry.key = std::move(key->second);
-      grouped[key->first].push_back(std::move(routeEntry));
+    if (auto key = SplitItemKey(aList, entry.key)) {
+      TomlEntry item = entry;
+      item.key = std::move(key->second);
+      grouped[key->first].push_back(std::move(item));
     }
   }
-  std::vector<RouteSpec> routes;
+  std::vector<T> items;
   for (const auto& [index, entries] : grouped) {
-    auto route = ReadEntries(RouteSchema(), entries, aFile);
-    if (!Succeeded(route)) {
-      return Failure(route);
+    auto item = ReadEntries(aSchema, entries, aFile);
+    if (!Succeeded(item)) {
+      return Failure(item);
     }
-    routes.push_back(std::move(Value(route)));
+    items.push_back(std::move(Value(item)));
   }
-  return routes;
+  std::erase_if(aEntries, [&](const TomlEntry& aEntry) {
+    return SplitItemKey(aList, aEntry.key).has_value();
+  });
+  return items;
 }
 
 bool
@@ -91,19 +102,25 @@
   if (!Succeeded(entries)) {
     return Failure(entries);
   }
-  auto routes = ReadRoutes(Value(entries), aFile);
+  auto routes = TakeItems(kRoutes, RouteSchema(), Value(entries), aFile);
   if (!Succeeded(routes)) {
     return Failure(routes);
   }
-  std::erase_if(Value(entries), [](const TomlEntry& aEntry) {
-    return SplitRouteKey(aEntry.key).has_value();
-  });
+  auto workspaces =
+    TakeItems(kWorkspaces, WorkspaceSchema(), Value(entries), aFile);
+  if (!Succeeded(workspaces)) {
+    return Failure(workspaces);
+  }
   auto parsed = ReadEntries(ServiceSchema(), Value(entries), aFile);
   if (!Succeeded(parsed)) {
     return parsed;
   }
   ServiceSpec& service = Value(parsed);
   service.routes = std::move(Value(routes));
+  service.workspaces = std::move(Value(workspaces));
+  if (auto error = CheckWorkspaces(service.workspaces)) {
+    return DocumentError(aFile, error->kind, error->message, error->remedy);
+  }
   if (!IsServiceName(service.name)) {
     return DocumentError(aFile,
                          ErrorKind::OutOfRange,
--- a/src/baobab/decision/configuration.cpp
+++ b/src/baobab/decision/configuration.cpp
@@ -31,6 +31,19 @@
     ConfiguredService{ aEntry, aText, std::move(Value(parsed)) });
 }
 
+/// Checks the workspaces of all service files together.
+std::optional<Error>
+CheckAllWorkspaces(const Services& aServices)
+{
+  std::vector<WorkspaceSpec> all;
+  for (const auto& service : aServices) {
+    if (!service->spec.retired) {
+      std::ranges::copy(service->spec.workspaces, std::back_inserter(all));
+    }
+  }
+  return CheckWorkspaces(all);
+}
+
 Error
 GapError()
 {
@@ -87,6 +100,9 @@
   if (aDelta.digest != 0 && aDelta.digest != result.Digest()) {
     return GapError();
   }
+  if (auto error = CheckAllWorkspaces(result.services)) {
+    return *error;
+  }
   return result;
 }
 
--- a/src/bin/baobab_publish.cpp
+++ b/src/bin/baobab_publish.cpp
@@ -81,6 +81,7 @@
 {
   std::vector<ServiceFile> files;
   std::set<std::string> names;
+  std::vector<WorkspaceSpec> workspaces;
   bool valid = true;
   for (const std::string& path : aPaths) {
     auto file = LoadFile(path);
@@ -92,9 +93,18 @@
                 << "' is declared in more than one file (keep one of them)\n";
       valid = false;
     } else {
+      const auto service = ParseService(Value(file).text, path);
+      if (!Value(service).retired) {
+        std::ranges::copy(Value(service).workspaces,
+                          std::back_inserter(workspaces));
+      }
       files.push_back(std::move(Value(file)));
     }
   }
+  if (const auto error = CheckWorkspaces(workspaces)) {
+    std::cerr << Describe(*error) << "\n";
+    valid = false;
+  }
   return valid ? std::optional(std::move(files)) : std::nullopt;
 }
 
@@ -168,6 +178,8 @@
   if (PrintReference(FLAGS_print_reference, ServiceSchema())) {
     std::cout << "\n";
     PrintReference(true, RouteSchema());
+    std::cout << "\n";
+    PrintReference(true, WorkspaceSchema());
     return 0;
   }
   if (aPaths.empty() || (!FLAGS_check && FLAGS_store.empty())) {
