Calls need the key of a workspace, which stays at the ingress

Cause: a configuration that declares workspaces says who may call. Change: the ingress looks up the hash of the key in an immutable index that is published with the routes, refuses with 401, removes the key and the caller's own workspace header, and orders calls by workspace priority first.

--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -500,6 +500,16 @@
     LogField{ "expected_ms", "expected time of the second attempt" } }
 };
 
+inline constexpr LogEvent kKeyRefused{
+  "key_refused",
+  "ingress",
+  LogLevel::Warning,
+  LogDropPolicy::DropFirst,
+  "Requests were refused because they had no valid key of a workspace.",
+  std::array{ LogField{ "reason", "what was wrong with the key" },
+              LogField{ "requests", "number since the last such line" } }
+};
+
 // Calls, at the daemon of the target.
 
 inline constexpr LogEvent kCallQueued{
--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -6,9 +6,13 @@
 #include "baobab/net/http_server.hpp"
 #include "baobab/node/attempt_runner.hpp"
 #include "baobab/node/call_stats.hpp"
+#include "baobab/node/drop_counter.hpp"
 #include "baobab/node/rcu_cell.hpp"
 #include "baobab/node/watched_attempts.hpp"
+#include "baobab/node/workspace_access.hpp"
 
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace baobab {
@@ -31,9 +35,18 @@
 
   const WorkerStats& Stats() const { return this->stats; }
 
+  /// Requests that were refused because of their key.
+  const DropCounter& KeyRefusals() const { return this->keyRefusals; }
+
 private:
   Response Answer(Request&& aRequest, DisconnectNotifier& aCaller);
+  Response RefuseKey(KeyCheck aCheck);
+  Response Run(std::shared_ptr<const Route> aRoute,
+               CallAccess aAccess,
+               Request&& aRequest,
+               DisconnectNotifier& aCaller);
   Response Serve(IngressCall& aCall);
+  std::optional<NotRun> RefusalByWorkspace(const IngressCall& aCall) const;
   Response RefuseUnknownService(const IngressCall& aCall);
   HttpLimits Limits() const;
   Response NoRouteResponse() const;
@@ -49,6 +62,7 @@
   WatchedAttempts watchedAttempts;
   SplitMix random;
   WorkerStats stats;
+  DropCounter keyRefusals;
 };
 
 }
--- a/include/baobab/node/ingress_call.hpp
+++ b/include/baobab/node/ingress_call.hpp
@@ -11,6 +11,7 @@
 #include "baobab/node/peer_link.hpp"
 #include "baobab/node/rcu_cell.hpp"
 #include "baobab/node/route_table.hpp"
+#include "baobab/node/workspace_access.hpp"
 
 #include <memory>
 #include <optional>
@@ -23,6 +24,8 @@
   std::shared_ptr<const Route> route;
   /// Service that was chosen for this call; null if it is not known.
   std::shared_ptr<const ServiceRoute> serviceRoute;
+  /// Workspace that the caller's key belongs to; null if the call has none.
+  std::shared_ptr<const Workspace> workspace;
   Request request;
   TimePoint startedAt;
   CallTerms terms;
@@ -39,8 +42,10 @@
 bool IsQuarantined(const IngressCall& aCall);
 
 /// Prepares the call for a request: sets its deadline, chooses its service by
-/// the weights of the route, and sets the headers for targets.
+/// the weights of the route, and sets the headers for targets. The caller's key
+/// is not part of it.
 IngressCall PrepareCall(std::shared_ptr<const Route> aRoute,
+                        CallAccess aAccess,
                         Request&& aRequest,
                         const RcuCell<RouteTable>& aRoutes,
                         const Settings& aSettings,
--- a/include/baobab/node/ingress_pool.hpp
+++ b/include/baobab/node/ingress_pool.hpp
@@ -9,7 +9,10 @@
 #include "baobab/node/rcu_cell.hpp"
 #include "baobab/node/route_table.hpp"
 
+#include <cstdint>
+#include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace baobab {
@@ -33,6 +36,9 @@
   /// Returns the merged statistics of all workers.
   WorkerStats Stats();
 
+  /// Requests that were refused because of their key, by reason.
+  std::map<std::string, std::uint64_t> KeyRefusals();
+
   /// Waits until all workers have shown that they make progress. The other
   /// functions wait without limit for a worker that makes none.
   /// @param aTime longest wait
--- a/include/baobab/node/route_table.hpp
+++ b/include/baobab/node/route_table.hpp
@@ -13,6 +13,7 @@
 #include "baobab/node/named_limit.hpp"
 #include "baobab/node/route_index.hpp"
 #include "baobab/node/service_state.hpp"
+#include "baobab/node/workspace_index.hpp"
 
 #include <algorithm>
 #include <array>
@@ -79,6 +80,8 @@
   CallerLimits callerLimits;
   LiveSettings live;
   std::shared_ptr<const RouteIndex> index = std::make_shared<RouteIndex>();
+  std::shared_ptr<const WorkspaceIndex> workspaces =
+    std::make_shared<WorkspaceIndex>();
 };
 
 /// Builds routing tables from incremental changes, and carries the state of
@@ -131,9 +134,11 @@
   RouteStates routeStates;
   std::shared_ptr<const Configuration> configuration =
     std::make_shared<const Configuration>();
-  /// Depends only on the configuration, so it is not rebuilt when members
-  /// change.
+  /// The indexes depend only on the configuration, so they are not rebuilt when
+  /// members change.
   std::shared_ptr<const RouteIndex> index = std::make_shared<RouteIndex>();
+  std::shared_ptr<const WorkspaceIndex> workspaces =
+    std::make_shared<WorkspaceIndex>();
 };
 
 }
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -422,6 +422,11 @@
       for (const auto& [service, values] : this->ingress.Stats()) {
         page.AddService(service, values);
       }
+      for (const auto& [reason, count] : this->ingress.KeyRefusals()) {
+        page.Add("key_refusals_total",
+                 "reason=\"" + reason + "\"",
+                 static_cast<double>(count));
+      }
       this->callerConnections = this->ingress.AcceptedConnections();
     }
     page.AddTarget(this->calls.AdmissionControl().Service(),
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -4,6 +4,7 @@
 #include "baobab/decision/quarantine.hpp"
 #include "baobab/decision/retry_state.hpp"
 #include "baobab/net/clock.hpp"
+#include "baobab/net/log_events.hpp"
 #include "baobab/node/hedge.hpp"
 #include "baobab/node/responses.hpp"
 
@@ -81,6 +82,7 @@
       aSettings)
   , watchedAttempts(this->runner)
   , random(EntropySeed())
+  , keyRefusals(kKeyRefused)
 {
 }
 
@@ -125,8 +127,9 @@
 Response
 Ingress::Answer(Request&& aRequest, DisconnectNotifier& aCaller)
 {
-  auto route = this->routes.Read([&](const RouteTable& aTable) {
-    return aTable.FindRoute(HostOf(aRequest), aRequest.target);
+  auto [route, workspaces] = this->routes.Read([&](const RouteTable& aTable) {
+    return std::pair(aTable.FindRoute(HostOf(aRequest), aRequest.target),
+                     aTable.workspaces);
   });
   if (!route) {
     return this->NoRouteResponse();
@@ -135,20 +138,43 @@
     this->settings.headers.requestId,
     std::string(FindHeader(aRequest.headers, this->settings.headers.requestId))
   };
-  IngressCall call = PrepareCall(std::move(route),
-                                 std::move(aRequest),
-                                 this->routes,
-                                 this->settings,
-                                 this->random);
-  call.caller = &aCaller;
+  CallAccess access = CheckAccess(*workspaces, route->spec, aRequest.headers);
   Response response =
-    call.serviceRoute ? this->Serve(call) : this->RefuseUnknownService(call);
+    access.Allowed()
+      ? this->Run(
+          std::move(route), std::move(access), std::move(aRequest), aCaller)
+      : this->RefuseKey(access.check);
   if (!id.value.empty() && FindHeader(response.headers, id.name).empty()) {
     response.headers.push_back(id);
   }
   return response;
 }
 
+/// Refuses a request without a valid key.
+Response
+Ingress::RefuseKey(KeyCheck aCheck)
+{
+  this->keyRefusals.Record(Name(aCheck), Now());
+  return NoAccessResponse(aCheck);
+}
+
+Response
+Ingress::Run(std::shared_ptr<const Route> aRoute,
+             CallAccess aAccess,
+             Request&& aRequest,
+             DisconnectNotifier& aCaller)
+{
+  IngressCall call = PrepareCall(std::move(aRoute),
+                                 std::move(aAccess),
+                                 std::move(aRequest),
+                                 this->routes,
+                                 this->settings,
+                                 this->random);
+  call.caller = &aCaller;
+  return call.serviceRoute ? this->Serve(call)
+                           : this->RefuseUnknownService(call);
+}
+
 /// Refuses a request if the service chosen for it is not known.
 Response
 Ingress::RefuseUnknownService(const IngressCall& aCall)
@@ -163,12 +189,26 @@
 Ingress::Serve(IngressCall& aCall)
 {
   const std::string& service = aCall.serviceRoute->service->spec.name;
+  if (auto refusal = RefusalByWorkspace(aCall)) {
+    return this->FinishCall(aCall, std::move(*refusal), service);
+  }
   aCall.serviceRoute->state->retryBudget.Earn();
   aCall.stats = &this->stats[service];
   Outcome outcome = this->RunAttempts(aCall);
   return this->FinishCall(aCall, std::move(outcome), service);
 }
 
+/// Returns why the caller's workspace may not run the call now; nothing if it
+/// may.
+std::optional<NotRun>
+Ingress::RefusalByWorkspace(const IngressCall& aCall) const
+{
+  if (!aCall.workspace) {
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
 /// Returns the response to a request for which there is no route. Before the
 /// first configuration it is one that asks to retry.
 Response
--- a/src/baobab/node/ingress_call.cpp
+++ b/src/baobab/node/ingress_call.cpp
@@ -28,6 +28,7 @@
 
 CallTerms
 TermsOf(const Route& aRoute,
+        const CallAccess& aAccess,
         const Request& aRequest,
         std::string_view aDeadlineHeader,
         TimePoint aStartedAt)
@@ -42,16 +43,19 @@
   CallTerms terms;
   terms.deadline = aStartedAt + time;
   terms.objective = aStartedAt + aRoute.spec.objective - waitedBefore;
-  terms.priority = static_cast<std::uint8_t>(aRoute.spec.priority);
+  terms.priority = CallPriority(aAccess, aRoute.spec);
+  terms.workspace = aAccess.workspace ? aAccess.workspace->id : 0;
   terms.idempotent = IsIdempotent(
     aRoute.spec, aRoute.owner->spec, aRequest.method, aRequest.target);
   return terms;
 }
 
-/// Removes the headers that only daemons may set from the caller's request, and
-/// adds that of the calling service.
+/// Removes the caller's key and the headers that only daemons may set from the
+/// caller's request, and adds those of the calling service and workspace.
 void
-ReplaceReservedHeaders(Request& aRequest, const Settings& aSettings)
+ReplaceReservedHeaders(Request& aRequest,
+                       const CallAccess& aAccess,
+                       const Settings& aSettings)
 {
   const HeaderNames& names = aSettings.headers;
   std::erase_if(aRequest.headers, [&](const HeaderField& aField) {
@@ -63,6 +67,7 @@
   if (!aSettings.service.empty()) {
     aRequest.headers.push_back({ names.callerService, aSettings.service });
   }
+  ReplaceWorkspaceHeaders(aRequest.headers, aAccess, names.workspace);
 }
 
 /// Returns the request's suspicion, if it is suspected of crashing targets.
@@ -94,6 +99,7 @@
 
 IngressCall
 PrepareCall(std::shared_ptr<const Route> aRoute,
+            CallAccess aAccess,
             Request&& aRequest,
             const RcuCell<RouteTable>& aRoutes,
             const Settings& aSettings,
@@ -102,7 +108,8 @@
   const HeaderNames& names = aSettings.headers;
   IngressCall call;
   call.startedAt = Now();
-  call.terms = TermsOf(*aRoute, aRequest, names.deadline, call.startedAt);
+  call.terms =
+    TermsOf(*aRoute, aAccess, aRequest, names.deadline, call.startedAt);
   const double tracedShare = aRoutes.Read(
     [](const RouteTable& aTable) { return aTable.live.logCallShare; });
   call.terms.traced = UniformFraction(aRandom) < tracedShare;
@@ -110,7 +117,8 @@
     std::string(FindHeader(aRequest.headers, names.requestId)),
     call.terms.traced,
     call.startedAt);
-  ReplaceReservedHeaders(aRequest, aSettings);
+  ReplaceReservedHeaders(aRequest, aAccess, aSettings);
+  call.workspace = std::move(aAccess.workspace);
   aRequest.service = aRoute->PickService(aRandom);
   call.serviceRoute = aRoutes.Read([&](const RouteTable& aTable) {
     return aTable.FindService(aRequest.service);
--- a/src/baobab/node/ingress_call_test.cpp
+++ b/src/baobab/node/ingress_call_test.cpp
@@ -41,7 +41,7 @@
     });
     BOOST_REQUIRE(route);
     return IsQuarantined(PrepareCall(
-      std::move(route), Request(request), routes, settings, random));
+      std::move(route), {}, Request(request), routes, settings, random));
   };
   const Fingerprint fingerprint = FingerprintOf(request);
   BOOST_TEST(!quarantined({}));
--- a/src/baobab/node/ingress_pool.cpp
+++ b/src/baobab/node/ingress_pool.cpp
@@ -133,6 +133,22 @@
   return stats;
 }
 
+std::map<std::string, std::uint64_t>
+IngressPool::KeyRefusals()
+{
+  std::map<std::string, std::uint64_t> sum;
+  for (const auto& worker : this->workers) {
+    const auto reasons = RunOnWorker(*worker, [](const IngressWorker& aWorker) {
+      return aWorker.ingress ? aWorker.ingress->KeyRefusals().Reasons()
+                             : DropCounter::ByReason();
+    });
+    for (const auto& [reason, drops] : reasons) {
+      sum[reason] += drops.total;
+    }
+  }
+  return sum;
+}
+
 bool
 IngressPool::RespondsWithin(Duration aTime)
 {
--- a/src/baobab/node/route_table.cpp
+++ b/src/baobab/node/route_table.cpp
@@ -105,6 +105,8 @@
   this->configuration = std::move(aConfiguration);
   this->index =
     std::make_shared<const RouteIndex>(*this->configuration, this->routeStates);
+  this->workspaces =
+    std::make_shared<const WorkspaceIndex>(*this->configuration);
 }
 
 std::unique_ptr<RouteTable>
@@ -115,6 +117,7 @@
   table->suspects = std::move(aSuspects);
   table->generation = this->configuration->Generation();
   table->index = this->index;
+  table->workspaces = this->workspaces;
   const auto isActive = [](const auto& aService) {
     return !aService->spec.retired;
   };
