--- a/include/baobab/core/time.hpp
+++ b/include/baobab/core/time.hpp
@@ -16,6 +16,20 @@
 using Millis = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
 
+/// Times that also pass while the machine is suspended, for what must not
+/// outlive a limit in real time. Like TimePoint they do not depend on the time
+/// of day.
+struct BootClock
+{
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+};
+
+using BootTime = BootClock::time_point;
+
 /// Returns a time point as nanoseconds, to be stored in an atomic.
 constexpr std::int64_t
 Nanos(TimePoint aTime)
--- a/src/baobab/core/workspace.cpp
+++ b/src/baobab/core/workspace.cpp
@@ -41,7 +41,7 @@
                     "use 1 to 255 visible ASCII characters without spaces" };
     }
     if (!ids.insert(IdOfWorkspace(workspace.name)).second) {
-      return Error{ ErrorKind::Conflict,
+      return Error{ ErrorKind::OutOfRange,
                     "workspace '" + workspace.name +
                       "' is declared twice, or its ID is that of another one",
                     "join the two entries, or rename the workspace" };
@@ -55,7 +55,7 @@
                       "write what `printf %s KEY | sha256sum` prints" };
       }
       if (!keys.insert(*hash).second) {
-        return Error{ ErrorKind::Conflict,
+        return Error{ ErrorKind::OutOfRange,
                       "a key of workspace '" + workspace.name +
                         "' is listed twice or belongs to another workspace too",
                       "remove it from all workspaces but one" };
