Withdrawn keys stay withdrawn: keyed calls need a recent proof

Cause: workspaces.revocation_ms limits how long a withdrawn key is valid on any machine, in touch or not. Off without the setting or without workspaces. Prove() keeps a position of its own in the store's history, since that of gossip may lie behind a configuration that its sender rejected.

--- a/cmake/baobab_models.cmake
+++ b/cmake/baobab_models.cmake
@@ -11,3 +11,5 @@
   -- -DNO_CONDITION -- -DNO_GENERATION_CHECK -- -DNO_READ_BACK)
 add_test(NAME model_config_same_service COMMAND ${CMAKE_SOURCE_DIR}/spec/check
   config -DSAME_SERVICE -- -DSAME_SERVICE -DNO_REVISION_CHECK)
+add_test(NAME model_key_lease COMMAND ${CMAKE_SOURCE_DIR}/spec/check key_lease
+  -- -DAGE_AT_ARRIVAL -- -DNO_GENERATION_CHECK -- -DNO_LIMIT)
--- a/include/baobab/node/config_agent.hpp
+++ b/include/baobab/node/config_agent.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "baobab/core/settings.hpp"
+#include "baobab/decision/key_lease.hpp"
 #include "baobab/decision/membership.hpp"
 #include "baobab/decision/pull_plan.hpp"
 #include "baobab/decision/store_freshness.hpp"
@@ -45,6 +46,11 @@
   /// Reads the published configuration and adopts it if it is newer.
   void ReadStore();
 
+  /// Asks the store whether the configuration in force is the newest, and
+  /// adopts a newer one. Returns no proof if the store did not answer, or if
+  /// what it published could not be adopted.
+  std::optional<LeaseProof> Prove();
+
   /// Handles the generation that a peer advertises; pulls it if it is newer.
   void OnPeerGeneration(const Endpoint& aPeer, std::uint64_t aGeneration);
 
@@ -56,6 +62,9 @@
   /// over, even if that read failed.
   bool Ready() const { return this->firstReadDone && this->Generation() > 0; }
 
+  /// Members of the availability zone in the order in which they are readers.
+  std::vector<Endpoint> RankedZone() const;
+
   /// True if this daemon watches the store on behalf of its availability zone.
   bool IsReader() const;
 
@@ -98,6 +107,10 @@
   PullPlan pulls;
   bool firstReadDone = false;
   std::uint64_t auditCalls = 0;
+  /// Position in the store's history up to which Prove() has adopted all; empty
+  /// before the first time. Positions of gossip do not serve: their sender may
+  /// have rejected a configuration before them.
+  std::string provenPosition;
   /// Set while the store does not answer.
   std::optional<TimePoint> storeLostAt;
   SplitMix random;
--- a/include/baobab/node/gossip_agent.hpp
+++ b/include/baobab/node/gossip_agent.hpp
@@ -10,6 +10,7 @@
 #include "baobab/net/store.hpp"
 #include "baobab/node/control_pacer.hpp"
 #include "baobab/node/drop_counter.hpp"
+#include "baobab/wire/lease_codec.hpp"
 
 #include <functional>
 #include <memory>
@@ -66,6 +67,9 @@
   /// @param aSuspicionsDiffer true if the receiver holds other suspicions
   void Send(std::vector<GossipSend> aSends, bool aSuspicionsDiffer = false);
 
+  /// Sends a question for a proof, or the answer to one.
+  void SendLease(const Endpoint& aTo, const LeaseMessage& aMessage);
+
   /// Answers a table request with the members of all buckets that differ.
   void Reply(const std::shared_ptr<FrameConnection>& aFrames,
              const TableRequestMessage& aRequest);
@@ -75,6 +79,8 @@
 
   /// Called with the configuration generation that a peer advertises.
   std::function<void(const Endpoint&, std::uint64_t)> onGeneration;
+  /// Called with each question for a proof and each answer.
+  std::function<void(const LeaseMessage&)> onLease;
   /// Called after a datagram with suspicions, which may change routing.
   std::function<void()> onSuspicions;
 
--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -7,6 +7,7 @@
 #include "baobab/node/attempt_runner.hpp"
 #include "baobab/node/call_stats.hpp"
 #include "baobab/node/drop_counter.hpp"
+#include "baobab/node/lease_cell.hpp"
 #include "baobab/node/rcu_cell.hpp"
 #include "baobab/node/watched_attempts.hpp"
 #include "baobab/node/workspace_access.hpp"
@@ -24,6 +25,7 @@
 public:
   Ingress(boost::asio::io_context& aContext,
           const RcuCell<RouteTable>& aRoutes,
+          const LeaseCell& aLease,
           LinkIdentity aIdentity,
           const Settings& aSettings);
 
@@ -46,6 +48,7 @@
                Request&& aRequest,
                DisconnectNotifier& aCaller);
   Response Serve(IngressCall& aCall);
+  bool KeysAreCurrent(std::uint64_t aGeneration) const;
   std::optional<NotRun> RefusalByWorkspace(const IngressCall& aCall) const;
   Response RefuseUnknownService(const IngressCall& aCall);
   HttpLimits Limits() const;
@@ -57,6 +60,7 @@
   void UpdateLoad(const Endpoint& aEndpoint, const LoadReport& aLoad);
 
   const RcuCell<RouteTable>& routes;
+  const LeaseCell& lease;
   const Settings& settings;
   AttemptRunner runner;
   WatchedAttempts watchedAttempts;
--- a/include/baobab/node/ingress_call.hpp
+++ b/include/baobab/node/ingress_call.hpp
@@ -26,6 +26,8 @@
   std::shared_ptr<const ServiceRoute> serviceRoute;
   /// Workspace that the caller's key belongs to; null if the call has none.
   std::shared_ptr<const Workspace> workspace;
+  /// True if the key may have been withdrawn without this daemon's knowledge.
+  bool keysOutdated = false;
   Request request;
   TimePoint startedAt;
   CallTerms terms;
--- a/include/baobab/node/ingress_pool.hpp
+++ b/include/baobab/node/ingress_pool.hpp
@@ -6,6 +6,7 @@
 #include "baobab/core/settings.hpp"
 #include "baobab/net/http_server.hpp"
 #include "baobab/node/call_stats.hpp"
+#include "baobab/node/lease_cell.hpp"
 #include "baobab/node/rcu_cell.hpp"
 #include "baobab/node/route_table.hpp"
 
@@ -24,7 +25,9 @@
 class IngressPool
 {
 public:
-  IngressPool(const RcuCell<RouteTable>& aRoutes, const Settings& aSettings);
+  IngressPool(const RcuCell<RouteTable>& aRoutes,
+              const LeaseCell& aLease,
+              const Settings& aSettings);
   ~IngressPool();
 
   /// Opens a listening socket for each worker. Fails with System.
@@ -62,6 +65,7 @@
   void Serve(IngressWorker& aWorker);
 
   const RcuCell<RouteTable>& routes;
+  const LeaseCell& lease;
   const Settings& settings;
   HttpLimits limits;
   std::vector<std::unique_ptr<IngressWorker>> workers;
--- a/include/baobab/node/workspace_access.hpp
+++ b/include/baobab/node/workspace_access.hpp
@@ -35,6 +35,8 @@
   /// True if the configuration declares workspaces. Keys are then not passed
   /// on.
   bool declared = false;
+  /// True if keys may have been withdrawn without this daemon's knowledge.
+  bool outdated = false;
   /// Workspace of the key; null unless it is valid.
   std::shared_ptr<const Workspace> workspace;
 
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -98,6 +98,37 @@
   this->HandleRead(changed, *audit, askedAt);
 }
 
+std::optional<LeaseProof>
+ConfigAgent::Prove()
+{
+  const BootTime askedAt = BootNow();
+  const TimePoint sentAt = Now();
+  const auto current = this->publisher.CurrentConfiguration();
+  const auto asked = this->openSource();
+  if (!this->provenPosition.empty()) {
+    asked->Resume(this->provenPosition);
+  }
+  auto changed = asked->Watch(*current, kAuditWait);
+  if (!Succeeded(changed) && Failure(changed).kind == ErrorKind::NotFound) {
+    changed = asked->Read(*current);
+  }
+  this->auditCalls += asked->Calls();
+  this->LogStoreState(changed);
+  if (!Succeeded(changed)) {
+    return std::nullopt;
+  }
+  if (Value(changed)) {
+    const auto adopted = this->Adopt(*Value(changed), "store");
+    if (!Succeeded(adopted) &&
+        Value(changed)->generation > this->Generation()) {
+      return std::nullopt;
+    }
+  }
+  this->provenPosition = asked->Position();
+  this->freshness.Confirm({ this->Generation(), sentAt, this->provenPosition });
+  return LeaseProof{ this->Generation(), askedAt };
+}
+
 void
 ConfigAgent::OnPeerGeneration(const Endpoint& aPeer, std::uint64_t aGeneration)
 {
@@ -133,6 +164,13 @@
   });
 }
 
+std::vector<Endpoint>
+ConfigAgent::RankedZone() const
+{
+  const auto zone = this->membership.ZoneMembers();
+  return RendezvousPick(zone, kReaderRole, zone.size());
+}
+
 bool
 ConfigAgent::IsReader() const
 {
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -12,6 +12,7 @@
 #include "baobab/node/daemon_metrics.hpp"
 #include "baobab/node/gossip_agent.hpp"
 #include "baobab/node/ingress_pool.hpp"
+#include "baobab/node/key_lease_agent.hpp"
 #include "baobab/node/metrics.hpp"
 #include "baobab/node/peer_server.hpp"
 #include "baobab/node/quarantine_agent.hpp"
@@ -139,7 +140,13 @@
         [this] { return this->Counts(); },
         [this] { return this->config.Generation(); },
         this->settings)
-    , ingress(this->routes, this->settings)
+    , keyLease(this->config,
+               this->gossip,
+               this->membership,
+               this->publisher,
+               this->leaseCell,
+               this->settings)
+    , ingress(this->routes, this->leaseCell, this->settings)
     , adminServerState(kMaxAdminConnections)
     , reloader(aSettings, std::move(aReader), [this](const Settings& aNext) {
       SetLogLevel(aNext.logLevel);
@@ -209,6 +216,9 @@
                                        std::uint64_t aGeneration) {
       this->config.OnPeerGeneration(aPeer, aGeneration);
     };
+    this->gossip.onLease = [this](const LeaseMessage& aMessage) {
+      this->keyLease.Handle(aMessage);
+    };
     this->gossip.onSuspicions = [this] {
       this->publisher.MarkChanged();
       this->quarantineAgent.OnSuspicions();
@@ -232,6 +242,7 @@
     Spawn([this] { this->gossip.RunExchanges(); });
     Spawn([this] { this->config.Run(); });
     Spawn([this] { this->config.RunAudits(); });
+    Spawn([this] { this->keyLease.Run(); });
     Spawn([this] { this->quarantineAgent.Run(); });
     Spawn([this] { this->status.RunReports(); });
     Spawn([this] { this->status.RunAggregation(); });
@@ -496,6 +507,8 @@
   CallServer calls;
   PeerServer peers;
   StatusAgent status;
+  LeaseCell leaseCell;
+  KeyLeaseAgent keyLease;
   IngressPool ingress;
   HttpLimits limits;
   HttpHandler adminHandler;
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -104,6 +104,12 @@
 {
   ++this->counts.received;
   this->counts.receivedBytes += aBytes.size();
+  if (const auto lease = DecodeLease(aBytes)) {
+    if (this->onLease) {
+      this->onLease(*lease);
+    }
+    return;
+  }
   auto message = DecodeGossip(aBytes);
   if (!Succeeded(message)) {
     this->counts.refused.Record(Failure(message).message, Now());
@@ -168,6 +174,22 @@
   }
 }
 
+void
+GossipAgent::SendLease(const Endpoint& aTo, const LeaseMessage& aMessage)
+{
+  const std::string bytes = EncodeLease(aMessage);
+  // Charged, but never dropped: it is small, and without it calls are refused.
+  static_cast<void>(this->pacer.TrySpend(bytes.size()));
+  boost::system::error_code error;
+  this->socket.send_to(asio::buffer(bytes), ToUdp(aTo), 0, error);
+  if (error) {
+    this->counts.unsent.Record(error.message(), Now());
+    return;
+  }
+  ++this->counts.sent;
+  this->counts.sentBytes += bytes.size();
+}
+
 void
 GossipAgent::RunExchanges()
 {
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -27,6 +27,10 @@
 /// be faster.
 constexpr std::size_t kMaxRefusalsForFasterTarget = 2;
 
+/// Time after which a caller may send a request again that was refused because
+/// keys are outdated.
+constexpr Micros kLeaseRetry = 500ms;
+
 std::string_view
 HostOf(const Request& aRequest)
 {
@@ -68,9 +72,11 @@
 
 Ingress::Ingress(boost::asio::io_context& aContext,
                  const RcuCell<RouteTable>& aRoutes,
+                 const LeaseCell& aLease,
                  LinkIdentity aIdentity,
                  const Settings& aSettings)
   : routes(aRoutes)
+  , lease(aLease)
   , settings(aSettings)
   , runner(
       aContext,
@@ -127,10 +133,12 @@
 Response
 Ingress::Answer(Request&& aRequest, DisconnectNotifier& aCaller)
 {
-  auto [route, workspaces] = this->routes.Read([&](const RouteTable& aTable) {
-    return std::pair(aTable.FindRoute(HostOf(aRequest), aRequest.target),
-                     aTable.workspaces);
-  });
+  auto [route, workspaces, generation] =
+    this->routes.Read([&](const RouteTable& aTable) {
+      return std::tuple(aTable.FindRoute(HostOf(aRequest), aRequest.target),
+                        aTable.workspaces,
+                        aTable.generation);
+    });
   if (!route) {
     return this->NoRouteResponse();
   }
@@ -139,6 +147,7 @@
     std::string(FindHeader(aRequest.headers, this->settings.headers.requestId))
   };
   CallAccess access = CheckAccess(*workspaces, route->spec, aRequest.headers);
+  access.outdated = !this->KeysAreCurrent(generation);
   Response response =
     access.Allowed()
       ? this->Run(
@@ -198,6 +207,15 @@
   return this->FinishCall(aCall, std::move(outcome), service);
 }
 
+/// True if the keys of a configuration are known to be valid still.
+bool
+Ingress::KeysAreCurrent(std::uint64_t aGeneration) const
+{
+  const Duration time = this->settings.workspaces.revocationTime;
+  return time == Duration::zero() ||
+         ProvesKeys(this->lease.Get(), aGeneration, time, BootNow());
+}
+
 /// Returns why the caller's workspace may not run the call now; nothing if it
 /// may.
 std::optional<NotRun>
@@ -206,6 +224,12 @@
   if (!aCall.workspace) {
     return std::nullopt;
   }
+  if (aCall.keysOutdated) {
+    return NotRun{ RefusalReason::KeysOutdated,
+                   "it is not known whether the key is still valid",
+                   false,
+                   kLeaseRetry };
+  }
   return std::nullopt;
 }
 
--- a/src/baobab/node/ingress_call.cpp
+++ b/src/baobab/node/ingress_call.cpp
@@ -118,6 +118,7 @@
     call.terms.traced,
     call.startedAt);
   ReplaceReservedHeaders(aRequest, aAccess, aSettings);
+  call.keysOutdated = aAccess.outdated;
   call.workspace = std::move(aAccess.workspace);
   aRequest.service = aRoute->PickService(aRandom);
   call.serviceRoute = aRoutes.Read([&](const RouteTable& aTable) {
--- a/src/baobab/node/ingress_pool.cpp
+++ b/src/baobab/node/ingress_pool.cpp
@@ -68,8 +68,10 @@
 }
 
 IngressPool::IngressPool(const RcuCell<RouteTable>& aRoutes,
+                         const LeaseCell& aLease,
                          const Settings& aSettings)
   : routes(aRoutes)
+  , lease(aLease)
   , settings(aSettings)
   , limits(LimitsOf(aSettings))
 {
@@ -111,6 +113,7 @@
   aWorker.ingress =
     std::make_unique<Ingress>(aWorker.thread.Context(),
                               this->routes,
+                              this->lease,
                               LinkIdentity{ EntropySeed(),
                                             this->settings.locality.region,
                                             this->settings.peers.address },
