--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -6,10 +6,15 @@
 #include "baobab/net/http_server.hpp"
 #include "baobab/node/attempt_runner.hpp"
 #include "baobab/node/call_stats.hpp"
-#include "baobab/node/rcu_cell.hpp"
+#include "baobab/node/drop_counter.hpp"
+#include "baobab/node/lease_cell.hpp"
 #include "baobab/node/quota_gate.hpp"
+#include "baobab/node/rcu_cell.hpp"
 #include "baobab/node/watched_attempts.hpp"
+#include "baobab/node/workspace_access.hpp"
 
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace baobab {
@@ -22,6 +27,7 @@
   Ingress(boost::asio::io_context& aContext,
           const RcuCell<RouteTable>& aRoutes,
           QuotaGate& aQuotas,
+          const LeaseCell& aLease,
           LinkIdentity aIdentity,
           const Settings& aSettings);
 
@@ -33,9 +39,19 @@
 
   const WorkerStats& Stats() const { return this->stats; }
 
+  /// Requests that were refused because of their key.
+  const DropCounter& KeyRefusals() const { return this->keyRefusals; }
+
 private:
   Response Answer(Request&& aRequest, DisconnectNotifier& aCaller);
+  Response RefuseKey(KeyCheck aCheck);
+  Response Run(std::shared_ptr<const Route> aRoute,
+               CallAccess aAccess,
+               Request&& aRequest,
+               DisconnectNotifier& aCaller);
   Response Serve(IngressCall& aCall);
+  bool KeysAreCurrent(std::uint64_t aGeneration) const;
+  std::optional<NotRun> RefusalByWorkspace(const IngressCall& aCall) const;
   Response RefuseUnknownService(const IngressCall& aCall);
   HttpLimits Limits() const;
   Response NoRouteResponse() const;
@@ -47,11 +63,13 @@
 
   const RcuCell<RouteTable>& routes;
   QuotaGate& quotas;
+  const LeaseCell& lease;
   const Settings& settings;
   AttemptRunner runner;
   WatchedAttempts watchedAttempts;
   SplitMix random;
   WorkerStats stats;
+  DropCounter keyRefusals;
 };
 
 }
--- a/include/baobab/node/ingress_pool.hpp
+++ b/include/baobab/node/ingress_pool.hpp
@@ -6,11 +6,15 @@
 #include "baobab/core/settings.hpp"
 #include "baobab/net/http_server.hpp"
 #include "baobab/node/call_stats.hpp"
+#include "baobab/node/lease_cell.hpp"
 #include "baobab/node/quota_gate.hpp"
 #include "baobab/node/rcu_cell.hpp"
 #include "baobab/node/route_table.hpp"
 
+#include <cstdint>
+#include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace baobab {
@@ -24,6 +28,7 @@
 public:
   IngressPool(const RcuCell<RouteTable>& aRoutes,
               QuotaGate& aQuotas,
+              const LeaseCell& aLease,
               const Settings& aSettings);
   ~IngressPool();
 
@@ -36,6 +41,9 @@
   /// Returns the merged statistics of all workers.
   WorkerStats Stats();
 
+  /// Requests that were refused because of their key, by reason.
+  std::map<std::string, std::uint64_t> KeyRefusals();
+
   /// Waits until all workers have shown that they make progress. The other
   /// functions wait without limit for a worker that makes none.
   /// @param aTime longest wait
@@ -60,6 +68,7 @@
 
   const RcuCell<RouteTable>& routes;
   QuotaGate& quotas;
+  const LeaseCell& lease;
   const Settings& settings;
   HttpLimits limits;
   std::vector<std::unique_ptr<IngressWorker>> workers;
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -12,6 +12,7 @@
 #include "baobab/node/daemon_metrics.hpp"
 #include "baobab/node/gossip_agent.hpp"
 #include "baobab/node/ingress_pool.hpp"
+#include "baobab/node/key_lease_agent.hpp"
 #include "baobab/node/memory_limit.hpp"
 #include "baobab/node/metrics.hpp"
 #include "baobab/node/peer_server.hpp"
@@ -146,7 +147,13 @@
              [this](const Endpoint& aTo, std::string_view aBytes) {
                this->gossip.SendDatagram(aTo, aBytes);
              })
-    , ingress(this->routes, this->quotaGate, this->settings)
+    , keyLease(this->config,
+               this->gossip,
+               this->membership,
+               this->publisher,
+               this->leaseCell,
+               this->settings)
+    , ingress(this->routes, this->quotaGate, this->leaseCell, this->settings)
     , adminServerState(kMaxAdminConnections)
     , reloader(aSettings, std::move(aReader), [this](const Settings& aNext) {
       SetLogLevel(aNext.logLevel);
@@ -229,6 +236,9 @@
         });
       }
     };
+    this->gossip.onLease = [this](const LeaseMessage& aMessage) {
+      this->keyLease.Handle(aMessage);
+    };
     this->gossip.onSuspicions = [this] {
       this->publisher.MarkChanged();
       this->quarantineAgent.OnSuspicions();
@@ -252,6 +262,7 @@
     Spawn([this] { this->gossip.RunExchanges(); });
     Spawn([this] { this->config.Run(); });
     Spawn([this] { this->config.RunAudits(); });
+    Spawn([this] { this->keyLease.Run(); });
     Spawn([this] { this->quarantineAgent.Run(); });
     Spawn([this] { this->quotas.Run(); });
     Spawn([this] { this->status.RunReports(); });
@@ -443,6 +454,11 @@
       for (const auto& [service, values] : this->ingress.Stats()) {
         page.AddService(service, values);
       }
+      for (const auto& [reason, count] : this->ingress.KeyRefusals()) {
+        page.Add("key_refusals_total",
+                 "reason=\"" + reason + "\"",
+                 static_cast<double>(count));
+      }
       this->callerConnections = this->ingress.AcceptedConnections();
     }
     page.AddTarget(this->calls.AdmissionControl().Service(),
@@ -518,6 +534,8 @@
   QuotaGate quotaGate;
   QuotaAgent quotas;
   std::atomic<bool> quotaPollPosted{ false };
+  LeaseCell leaseCell;
+  KeyLeaseAgent keyLease;
   IngressPool ingress;
   HttpLimits limits;
   HttpHandler adminHandler;
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -28,6 +28,10 @@
 /// be faster.
 constexpr std::size_t kMaxRefusalsForFasterTarget = 2;
 
+/// Time after which a caller may send a request again that was refused because
+/// keys are outdated.
+constexpr Micros kLeaseRetry = 500ms;
+
 std::string_view
 HostOf(const Request& aRequest)
 {
@@ -89,10 +93,12 @@
 Ingress::Ingress(boost::asio::io_context& aContext,
                  const RcuCell<RouteTable>& aRoutes,
                  QuotaGate& aQuotas,
+                 const LeaseCell& aLease,
                  LinkIdentity aIdentity,
                  const Settings& aSettings)
   : routes(aRoutes)
   , quotas(aQuotas)
+  , lease(aLease)
   , settings(aSettings)
   , runner(
       aContext,
@@ -104,6 +110,7 @@
       aSettings)
   , watchedAttempts(this->runner)
   , random(EntropySeed())
+  , keyRefusals(kKeyRefused)
 {
 }
 
@@ -161,9 +168,12 @@
 Response
 Ingress::Answer(Request&& aRequest, DisconnectNotifier& aCaller)
 {
-  auto route = this->routes.Read([&](const RouteTable& aTable) {
-    return aTable.FindRoute(HostOf(aRequest), aRequest.target);
-  });
+  auto [route, workspaces, generation] =
+    this->routes.Read([&](const RouteTable& aTable) {
+      return std::tuple(aTable.FindRoute(HostOf(aRequest), aRequest.target),
+                        aTable.workspaces,
+                        aTable.generation);
+    });
   if (!route) {
     return this->NoRouteResponse();
   }
@@ -171,20 +181,44 @@
     this->settings.headers.requestId,
     std::string(FindHeader(aRequest.headers, this->settings.headers.requestId))
   };
-  IngressCall call = PrepareCall(std::move(route),
-                                 std::move(aRequest),
-                                 this->routes,
-                                 this->settings,
-                                 this->random);
-  call.caller = &aCaller;
+  CallAccess access = CheckAccess(*workspaces, route->spec, aRequest.headers);
+  access.outdated = !this->KeysAreCurrent(generation);
   Response response =
-    call.serviceRoute ? this->Serve(call) : this->RefuseUnknownService(call);
+    access.Allowed()
+      ? this->Run(
+          std::move(route), std::move(access), std::move(aRequest), aCaller)
+      : this->RefuseKey(access.check);
   if (!id.value.empty() && FindHeader(response.headers, id.name).empty()) {
     response.headers.push_back(id);
   }
   return response;
 }
 
+/// Refuses a request without a valid key.
+Response
+Ingress::RefuseKey(KeyCheck aCheck)
+{
+  this->keyRefusals.Record(Name(aCheck), Now());
+  return NoAccessResponse(aCheck);
+}
+
+Response
+Ingress::Run(std::shared_ptr<const Route> aRoute,
+             CallAccess aAccess,
+             Request&& aRequest,
+             DisconnectNotifier& aCaller)
+{
+  IngressCall call = PrepareCall(std::move(aRoute),
+                                 std::move(aAccess),
+                                 std::move(aRequest),
+                                 this->routes,
+                                 this->settings,
+                                 this->random);
+  call.caller = &aCaller;
+  return call.serviceRoute ? this->Serve(call)
+                           : this->RefuseUnknownService(call);
+}
+
 /// Refuses a request if the service chosen for it is not known.
 Response
 Ingress::RefuseUnknownService(const IngressCall& aCall)
@@ -199,12 +233,53 @@
 Ingress::Serve(IngressCall& aCall)
 {
   const std::string& service = aCall.serviceRoute->service->spec.name;
+  if (auto refusal = RefusalByWorkspace(aCall)) {
+    return this->FinishCall(aCall, std::move(*refusal), service);
+  }
+  QuotaTicket ticket;
+  if (aCall.workspace) {
+    auto admitted =
+      this->quotas.Admit(aCall.workspace->spec, aCall.workspace->id);
+    if (auto* refusal = std::get_if<NotRun>(&admitted)) {
+      return this->FinishCall(aCall, std::move(*refusal), service);
+    }
+    ticket = std::move(std::get<QuotaTicket>(admitted));
+  }
   aCall.serviceRoute->state->retryBudget.Earn();
   aCall.stats = &this->stats[service];
   Outcome outcome = this->RunAttempts(aCall);
+  if (std::holds_alternative<NotRun>(outcome)) {
+    QuotaGate::Return(ticket);
+  }
   return this->FinishCall(aCall, std::move(outcome), service);
 }
 
+/// True if the keys of a configuration are known to be valid still.
+bool
+Ingress::KeysAreCurrent(std::uint64_t aGeneration) const
+{
+  const Duration time = this->settings.workspaces.revocationTime;
+  return time == Duration::zero() ||
+         ProvesKeys(this->lease.Get(), aGeneration, time, BootNow());
+}
+
+/// Returns why the caller's workspace may not run the call now; nothing if it
+/// may.
+std::optional<NotRun>
+Ingress::RefusalByWorkspace(const IngressCall& aCall) const
+{
+  if (!aCall.workspace) {
+    return std::nullopt;
+  }
+  if (aCall.keysOutdated) {
+    return NotRun{ RefusalReason::KeysOutdated,
+                   "it is not known whether the key is still valid",
+                   false,
+                   kLeaseRetry };
+  }
+  return std::nullopt;
+}
+
 /// Returns the response to a request for which there is no route. Before the
 /// first configuration it is one that asks to retry.
 Response
--- a/src/baobab/node/ingress_pool.cpp
+++ b/src/baobab/node/ingress_pool.cpp
@@ -79,9 +79,11 @@
 
 IngressPool::IngressPool(const RcuCell<RouteTable>& aRoutes,
                          QuotaGate& aQuotas,
+                         const LeaseCell& aLease,
                          const Settings& aSettings)
   : routes(aRoutes)
   , quotas(aQuotas)
+  , lease(aLease)
   , settings(aSettings)
   , limits(LimitsOf(aSettings))
 {
@@ -124,6 +126,7 @@
     std::make_unique<Ingress>(aWorker.thread.Context(),
                               this->routes,
                               this->quotas,
+                              this->lease,
                               LinkIdentity{ EntropySeed(),
                                             this->settings.locality.region,
                                             this->settings.peers.address },
@@ -146,6 +149,22 @@
   return stats;
 }
 
+std::map<std::string, std::uint64_t>
+IngressPool::KeyRefusals()
+{
+  std::map<std::string, std::uint64_t> sum;
+  for (const auto& worker : this->workers) {
+    const auto reasons = RunOnWorker(*worker, [](const IngressWorker& aWorker) {
+      return aWorker.ingress ? aWorker.ingress->KeyRefusals().Reasons()
+                             : DropCounter::ByReason();
+    });
+    for (const auto& [reason, drops] : reasons) {
+      sum[reason] += drops.total;
+    }
+  }
+  return sum;
+}
+
 bool
 IngressPool::RespondsWithin(Duration aTime)
 {
