Cold targets get a limited number of calls

Cause: a target that has just started or lost its caches bears a limited number of calls a second; nothing held that limit. Change: the daemon beside the target holds it where calls leave the queue (decision/warmup_limit). Coldness comes from the announcement and the health path; calls since the last answer 'warm' are limited too, and the target is asked as they are used up, so the limit also holds when a target becomes cold unannounced. Calls that would be late are returned as warming-up, and load reports name the slots that a cold target can use. control.warmth_probe_ms switches the questions on. Event target_warmth, metric target_cold.

--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -67,6 +67,10 @@
   /// Age of the local target's load report from which on its health path is
   /// queried; 0: never.
   Millis loadProbeAge{ 0 };
+  /// Shortest time between questions to the local target whether it is cold,
+  /// which it gets while calls arrive and its service limits the calls to a
+  /// cold target; 0: it is not asked.
+  Millis warmthProbePeriod{ 0 };
   /// Time during which a new daemon has no share of the fleet's budgets.
   Millis settling{ 30000 };
 };
--- a/include/baobab/decision/admission.hpp
+++ b/include/baobab/decision/admission.hpp
@@ -9,6 +9,7 @@
 #include "baobab/core/time.hpp"
 #include "baobab/decision/link_load.hpp"
 #include "baobab/decision/useful_concurrency.hpp"
+#include "baobab/decision/warmup_limit.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -145,6 +146,11 @@
   /// Frees the slot of a call that was started but did not reach the target.
   std::vector<DequeuedCall> ReleaseSlot(TimePoint aNow);
 
+  /// The limit on calls while the target is cold. After a change, the next
+  /// Tick() starts the calls that may start now.
+  WarmupLimit& Warmup() { return this->warmup; }
+  const WarmupLimit& Warmup() const { return this->warmup; }
+
   /// Removes a call from the queue. Returns false if it does not wait.
   bool Withdraw(const CallId& aId);
 
@@ -152,8 +158,9 @@
   /// calls, and the growth of the usable slots.
   std::vector<DequeuedCall> Tick(TimePoint aNow);
 
-  /// The load, with the useful concurrency as the number of slots.
-  LoadReport Report() const;
+  /// The load. Its slots are the useful concurrency, or as many as a cold
+  /// target can use with the calls that it takes.
+  LoadReport Report(TimePoint aNow) const;
 
   /// Slots that the target announced.
   std::uint16_t AnnouncedSlots() const { return this->slots; }
@@ -211,6 +218,7 @@
   bool StartsBefore(const WaitingCall& aLeft,
                     const WaitingCall& aRight,
                     TimePoint aNow) const;
+  NotRun WarmupRefusal(Duration aWait) const;
   NotRun OverloadRefusal(std::string aDetail, Duration aWait) const;
   std::vector<DequeuedCall> RefuseAll();
   std::vector<DequeuedCall> ProcessQueue(TimePoint aNow);
@@ -231,6 +239,7 @@
   /// Moving average of the ratio of service time to estimate at normal speed.
   double crowdedFactor = 1;
   LinkLoad link;
+  WarmupLimit warmup;
   std::vector<WaitingCall> queue;
 };
 
--- a/include/baobab/decision/announcement_filter.hpp
+++ b/include/baobab/decision/announcement_filter.hpp
@@ -23,6 +23,8 @@
   /// Wall-clock time of the target's start in milliseconds since 1970; nothing
   /// if it is not known.
   std::optional<std::int64_t> startedAtMs;
+  /// Time for which the target stays cold, as it says; nothing if it does not.
+  std::optional<Millis> warmupLeft;
   /// Increases with each announcement of the same start; nothing for a target
   /// that was found without an announcement.
   std::optional<std::int64_t> sequence;
--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -173,6 +173,18 @@
   std::array{ LogField{ "requests_per_second", "0 if the limit has ended" } }
 };
 
+inline constexpr LogEvent kTargetWarmth{
+  "target_warmth",
+  "target",
+  LogLevel::Info,
+  LogDropPolicy::DropFirst,
+  "The target has become cold or warm. A cold one gets a limited number of "
+  "calls.",
+  std::array{ LogField{ "instance", "instance of the target" },
+              LogField{ "state", "cold or warm" },
+              LogField{ "calls_per_second", "calls that it takes while cold" } }
+};
+
 inline constexpr LogEvent kQuarantineRead{
   "quarantine_read",
   "target",
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -15,6 +15,7 @@
 #include "baobab/node/route_table.hpp"
 #include "baobab/node/sender_connections.hpp"
 #include "baobab/node/target_client.hpp"
+#include "baobab/node/target_probe.hpp"
 
 #include <functional>
 #include <memory>
@@ -155,6 +156,12 @@
                                         const RunningCall& aRun);
   void ApplySignals(const TargetSignals& aSignals, std::string_view aInstance);
   void UpdateLoad(const LoadReport& aLoad);
+  void ApplyHealth(const HealthReport& aHealth);
+  bool IsAskedForWarmth(const ServiceSpec& aSpec) const;
+  void ApplyWarmup(const TargetAnnouncement& aAnnouncement,
+                   const TargetAnnouncement& aBefore);
+  void LogWarmth(bool aWasCold);
+  void ProveWarmth();
   void SendLoadUpdates();
   NotRun LimitRefusal() const;
   bool IsSuspectRunning() const;
@@ -178,6 +185,10 @@
   /// Last announcement that needs a proof, until the target is asked.
   std::optional<TargetAnnouncement> unproven;
   bool proving = false;
+  /// True once the target's health path has told how warm it is.
+  bool warmthReported = false;
+  bool provingWarmth = false;
+  TimePoint warmthAskedAt;
   TargetStats stats;
   SenderConnections senders;
   LoadReporter reporter{ this->senders };
--- a/include/baobab/node/daemon_metrics.hpp
+++ b/include/baobab/node/daemon_metrics.hpp
@@ -25,6 +25,7 @@
   std::size_t suspects = 0;
   const GossipCounts& gossip;
   LoadReport target;
+  bool targetCold = false;
   const Membership& members;
   std::uint64_t callerConnections = 0;
   /// Delays of the control thread's timer beyond its due time.
--- a/include/baobab/node/target_probe.hpp
+++ b/include/baobab/node/target_probe.hpp
@@ -26,11 +26,20 @@
                                      std::string_view aPath,
                                      const Settings& aSettings);
 
-/// Requests the target's load. Returns nothing if there is no answer or it does
-/// not contain the load.
-std::optional<LoadReport> ProbeLoad(TargetClient& aTarget,
-                                    std::string_view aPath,
-                                    const Settings& aSettings);
+/// State that a target reports on its health path.
+struct HealthReport
+{
+  /// Nothing if the answer does not contain the load.
+  std::optional<LoadReport> load;
+  /// Time for which the target stays cold; nothing if it does not say so.
+  std::optional<Millis> warmupLeft;
+  TimePoint askedAt;
+};
+
+/// Requests the target's state. Returns nothing if there is no answer.
+std::optional<HealthReport> ProbeHealth(TargetClient& aTarget,
+                                        std::string_view aPath,
+                                        const Settings& aSettings);
 
 /// Requests the target's instance and load. Returns nothing if the target is
 /// not healthy or its answer does not contain both.
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -319,6 +319,14 @@
       "ms",
       "Age of the local target's load report from which on its health path is "
       "queried while it has calls; 0: never."),
+    DurationField<S>(
+      "control.warmth_probe_ms",
+      [](S& s) -> auto& { return s.control.warmthProbePeriod; },
+      { 0, 60000 },
+      "ms",
+      "Shortest time between questions to the local target's health path "
+      "whether it is cold, while it has calls and its service file sets "
+      "`warmup.rate_per_s`; 0: it is not asked."),
     DurationField<S>(
       "control.settling_ms",
       [](S& s) -> auto& { return s.control.settling; },
--- a/src/baobab/decision/admission.cpp
+++ b/src/baobab/decision/admission.cpp
@@ -100,7 +100,7 @@
       return this->MayStart(aWaiting.request, aNow);
     });
   if (this->running < this->UsableSlots(aNow) && !otherMayStart &&
-      this->MayStart(aRequest, aNow)) {
+      this->MayStart(aRequest, aNow) && this->warmup.TryStart(aNow)) {
     ++this->running;
     this->link.Add(aRequest.answerBytes, aNow);
     return StartNow{};
@@ -112,6 +112,10 @@
                                  this->ShouldAwaitLink(aRequest, aNow)
                                    ? this->link.Backlog(aNow) - kMaxLinkBacklog
                                    : Duration::zero());
+  if (this->warmup.IsCold(aNow) &&
+      (wait > this->limits.queueTime || this->IsLate(aRequest, wait, aNow))) {
+    return this->WarmupRefusal(wait);
+  }
   if (wait > this->limits.queueTime) {
     return this->OverloadRefusal("the expected wait in the queue is too long",
                                  wait);
@@ -206,12 +210,20 @@
 }
 
 LoadReport
-Admission::Report() const
+Admission::Report(TimePoint aNow) const
 {
   constexpr double kPercent = 100;
+  std::uint16_t usable = this->concurrency.Limit();
+  if (this->warmup.IsCold(aNow)) {
+    const double used =
+      this->warmup.Rate() *
+      std::chrono::duration<double>(this->serviceTime).count();
+    usable = static_cast<std::uint16_t>(
+      std::clamp<double>(used, 1, std::max<std::uint16_t>(1, usable)));
+  }
   return { this->running,
            static_cast<std::uint16_t>(this->queue.size()),
-           this->concurrency.Limit(),
+           usable,
            static_cast<std::uint16_t>(this->slowness * kPercent) };
 }
 
@@ -278,16 +290,19 @@
 {
   const auto usable = std::max<std::uint16_t>(1, this->UsableSlots(aNow));
   if (this->running < usable && this->queue.empty()) {
-    return Duration::zero();
+    return this->warmup.TimeUntilStart(0, aNow);
   }
   const WaitingCall entry{ aRequest, TimePoint::max(), TimePoint::max(), {} };
   Duration ahead = this->serviceTime;
+  std::size_t callsAhead = 0;
   for (const WaitingCall& waiting : this->queue) {
     if (!this->StartsBefore(entry, waiting, aNow)) {
       ahead += this->RunTime(waiting.request);
+      ++callsAhead;
     }
   }
-  return ahead / usable;
+  return std::max<Duration>(ahead / usable,
+                            this->warmup.TimeUntilStart(callsAhead, aNow));
 }
 
 bool
@@ -377,6 +392,16 @@
   return rank(aLeft) < rank(aRight);
 }
 
+NotRun
+Admission::WarmupRefusal(Duration aWait) const
+{
+  NotRun refusal{ RefusalReason::WarmingUp,
+                  "the target is cold and the call would wait too long" };
+  refusal.retryAfter = std::chrono::duration_cast<Micros>(
+    std::max<Duration>(kShortestRetryAfter, aWait));
+  return refusal;
+}
+
 NotRun
 Admission::OverloadRefusal(std::string aDetail, Duration aWait) const
 {
@@ -415,7 +440,7 @@
         best = waiting;
       }
     }
-    if (best == this->queue.end()) {
+    if (best == this->queue.end() || !this->warmup.TryStart(aNow)) {
       break;
     }
     dequeued.push_back({ best->id, StartNow{} });
@@ -444,9 +469,11 @@
     if (refused) {
       aDequeued.push_back(
         { aWaiting.id,
-          this->OverloadRefusal(
-            "the call waited too long or cannot finish before its deadline",
-            minimum) });
+          this->warmup.IsCold(aNow)
+            ? this->WarmupRefusal(minimum)
+            : this->OverloadRefusal(
+                "the call waited too long or cannot finish before its deadline",
+                minimum) });
     }
     return refused;
   });
--- a/src/baobab/decision/admission_test.cpp
+++ b/src/baobab/decision/admission_test.cpp
@@ -50,7 +50,7 @@
   BOOST_REQUIRE(next.size() == 1U);
   BOOST_TEST((next[0].id == Id(3)));
   BOOST_TEST(IsStarted(next[0].decision));
-  BOOST_TEST(admission.Report().running == 2);
+  BOOST_TEST(admission.Report(kNow).running == 2);
 }
 
 BOOST_AUTO_TEST_CASE(the_queue_is_ordered_by_deadline)
@@ -110,7 +110,7 @@
   BOOST_TEST(IsRefusedFor(refused[0].decision, RefusalReason::Leaving));
   BOOST_TEST(IsRefusedFor(admission.Offer(Id(3), kNow + 1s, kNow),
                           RefusalReason::Leaving));
-  BOOST_TEST(admission.Report().running == 1);
+  BOOST_TEST(admission.Report(kNow).running == 1);
   BOOST_TEST(admission.Finish(FinishedCall(1ms), kNow).empty());
 }
 
@@ -271,7 +271,7 @@
     finish(static_cast<std::uint16_t>(8 + i % 2), 170ms);
   }
   BOOST_TEST(admission.UsableSlots(kNow) == 7);
-  BOOST_TEST(admission.Report().slots == 7);
+  BOOST_TEST(admission.Report(kNow).slots == 7);
   BOOST_TEST(admission.AnnouncedSlots() == 9);
 }
 
--- a/src/baobab/node/admin.cpp
+++ b/src/baobab/node/admin.cpp
@@ -3,6 +3,7 @@
 #include "baobab/net/log.hpp"
 #include "baobab/net/log_events.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/json.hpp>
 
@@ -13,6 +14,9 @@
 
 constexpr std::size_t kMaxAnnouncementBytes = 4096;
 
+/// Longest time for which a target may say that it stays cold.
+constexpr std::int64_t kMaxWarmupMs = 600000;
+
 Error
 InvalidMember(std::string_view aMember, std::string_view aRemedy)
 {
@@ -138,6 +142,10 @@
   }
   announcement.announcement.slots =
     static_cast<std::uint16_t>(slots->as_int64());
+  if (const auto left = IntegerMember(object, "warmup_left_ms")) {
+    announcement.warmupLeft =
+      Millis(std::clamp<std::int64_t>(*left, 0, kMaxWarmupMs));
+  }
   announcement.instance = aInstance;
   if (aInstance.empty()) {
     return announcement;
--- a/src/baobab/node/attempt_runner.cpp
+++ b/src/baobab/node/attempt_runner.cpp
@@ -61,6 +61,7 @@
       aTarget.breaker.OpenFor(Now(), kNotReadyPause);
       break;
     case RefusalReason::RateLimited:
+    case RefusalReason::WarmingUp:
       aTarget.breaker.OpenFor(
         Now(), std::min<Duration>(aRefusal.retryAfter, kMaxLimitPause));
       break;
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -7,7 +7,6 @@
 #include "baobab/net/log_events.hpp"
 #include "baobab/net/worker.hpp"
 #include "baobab/node/admission_log.hpp"
-#include "baobab/node/target_probe.hpp"
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
@@ -129,7 +128,7 @@
                  if (aCall.traced) {
                    LogQueued(this->ToLoggedCall(aCall, now, aDeadline),
                              aCall.priority,
-                             this->admission.Report());
+                             this->admission.Report(Now()));
                  }
                  this->waiting.emplace(
                    id, WaitingCall{ std::move(aCall), now, aDeadline });
@@ -166,6 +165,8 @@
   }
   const ServiceSpec& spec = route->service->spec;
   this->admission.SetLimits(AdmissionLimitsOf(spec, this->settings));
+  this->admission.Warmup().Configure(spec.warmup.ratePerSecond,
+                                     this->IsAskedForWarmth(spec));
   if (this->quarantine.Size() == 0) {
     return std::nullopt;
   }
@@ -275,7 +276,8 @@
                               const std::optional<TargetProof>& aProof)
 {
   const TargetState before = this->admission.State();
-  const std::string instance = this->announcements.Current().instance;
+  const TargetAnnouncement current = this->announcements.Current();
+  const std::string& instance = current.instance;
   switch (this->announcements.Accept(aAnnouncement, aProof, Now())) {
     case AnnouncementVerdict::Accepted:
       break;
@@ -296,6 +298,7 @@
     this->admission.ForgetTarget();
     this->requestLimit.Reset();
   }
+  this->ApplyWarmup(aAnnouncement, current);
   this->target.SetTarget(aAnnouncement.address, aAnnouncement.instance);
   this->ApplyDequeued(
     this->admission.Announce(aAnnouncement.announcement, Now()));
@@ -307,6 +310,57 @@
   }
 }
 
+/// True if the target is asked whether it is cold, so that it does not get
+/// more calls without an answer than a cold one may.
+bool
+CallServer::IsAskedForWarmth(const ServiceSpec& aSpec) const
+{
+  return this->settings.control.warmthProbePeriod > Duration::zero() &&
+         !aSpec.healthPath.empty();
+}
+
+/// Applies what an announcement says about the warmth of the target. One that
+/// has just started counts as cold until it says otherwise.
+void
+CallServer::ApplyWarmup(const TargetAnnouncement& aAnnouncement,
+                        const TargetAnnouncement& aBefore)
+{
+  const auto route = this->findService(aAnnouncement.announcement.service);
+  const WarmupSpec spec = route ? route->service->spec.warmup : WarmupSpec{};
+  WarmupLimit& warmup = this->admission.Warmup();
+  if (route) {
+    warmup.Configure(spec.ratePerSecond,
+                     this->IsAskedForWarmth(route->service->spec));
+  }
+  const bool wasCold = warmup.IsCold(Now());
+  const bool restarted =
+    !aBefore.instance.empty() &&
+    (aAnnouncement.instance != aBefore.instance ||
+     (aBefore.startedAtMs && aAnnouncement.startedAtMs != aBefore.startedAtMs));
+  if (aAnnouncement.warmupLeft.value_or(0ms) > 0ms) {
+    warmup.SetCold(*aAnnouncement.warmupLeft, Now());
+  } else if (restarted && !aAnnouncement.warmupLeft) {
+    warmup.SetCold(spec.time, Now());
+  } else if (aAnnouncement.warmupLeft && !this->warmthReported) {
+    // An announcement may be late. It counts as a proof of warmth only if the
+    // target's health path gives none.
+    warmup.OnReport(0ms, Now(), Now());
+  }
+  this->LogWarmth(wasCold);
+}
+
+void
+CallServer::LogWarmth(bool aWasCold)
+{
+  const bool cold = this->admission.Warmup().IsCold(Now());
+  if (cold != aWasCold) {
+    Log(kTargetWarmth,
+        this->announcements.Current().instance,
+        std::string_view(cold ? "cold" : "warm"),
+        this->admission.Warmup().Rate());
+  }
+}
+
 void
 CallServer::OnDeparture(std::string_view aInstance)
 {
@@ -344,6 +398,7 @@
 CallServer::Tick()
 {
   this->ApplyDequeued(this->admission.Tick(Now()));
+  this->ProveWarmth();
   this->ledger.Expire(Now());
   this->quarantine.Expire(Now());
 }
@@ -412,7 +467,7 @@
   ++this->stats.refusals[aRefusal.reason];
   LogRefused(this->ToLoggedCall(aCall, aArrivedAt, aDeadline),
              aRefusal,
-             this->admission.Report());
+             this->admission.Report(Now()));
   this->SendRefusal(aCall.id, std::move(aRefusal));
 }
 
@@ -450,15 +505,16 @@
   running.startedAt = Now();
   running.deadline = aWaiting.deadline;
   running.objective = aWaiting.arrivedAt + aWaiting.call.objective;
-  const LoadReport load = this->admission.Report();
+  const LoadReport load = this->admission.Report(Now());
   running.slowness = load.slowness / kPercent;
   running.concurrency = load.running;
   if (aWaiting.call.traced) {
     LogStarted(
       this->ToLoggedCall(aWaiting.call, aWaiting.arrivedAt, aWaiting.deadline),
-      this->admission.Report());
+      this->admission.Report(Now()));
   }
   this->SendLoadUpdates();
+  this->ProveWarmth();
   Spawn([this, call = std::move(aWaiting.call), deadline = aWaiting.deadline] {
     this->RunCall(call, deadline);
   });
@@ -489,8 +545,9 @@
     [&]() -> std::optional<SendPermit> {
       // A repeat is an arrival at the target like any other.
       auto permit = route ? route->state->retryBudget.Spend() : std::nullopt;
-      return permit && this->requestLimit.TryStart(Now()) ? std::move(permit)
-                                                          : std::nullopt;
+      const bool allowed = permit && this->requestLimit.TryStart(Now()) &&
+                           this->admission.Warmup().TryStart(Now());
+      return allowed ? std::move(permit) : std::nullopt;
     });
   const RunningCall ended = state;
   this->running.erase(aCall.id);
@@ -565,10 +622,55 @@
 CallServer::SendLoadUpdates()
 {
   if (const auto route = this->findService(this->admission.Service())) {
-    this->reporter.Broadcast(this->admission.Report(), *route->state);
+    this->reporter.Broadcast(this->admission.Report(Now()), *route->state);
   }
 }
 
+void
+CallServer::ApplyHealth(const HealthReport& aHealth)
+{
+  if (aHealth.load) {
+    this->UpdateLoad(*aHealth.load);
+  }
+  WarmupLimit& warmup = this->admission.Warmup();
+  const bool wasCold = warmup.IsCold(Now());
+  this->warmthReported |= aHealth.warmupLeft.has_value();
+  // A target that says nothing stays cold for as long as it announced.
+  if (aHealth.warmupLeft || !wasCold) {
+    warmup.OnReport(aHealth.warmupLeft.value_or(0ms), aHealth.askedAt, Now());
+  }
+  this->LogWarmth(wasCold);
+  this->Tick();
+  this->SendLoadUpdates();
+}
+
+/// Asks the target whether it is cold, if that must be known now. Not more
+/// often than the settings allow.
+void
+CallServer::ProveWarmth()
+{
+  const Duration period = this->settings.control.warmthProbePeriod;
+  if (period == Duration::zero() || this->provingWarmth ||
+      Now() - this->warmthAskedAt < period ||
+      !this->admission.Warmup().NeedsProof(Now())) {
+    return;
+  }
+  const auto route = this->findService(this->admission.Service());
+  if (!route || route->service->spec.healthPath.empty()) {
+    return;
+  }
+  this->provingWarmth = true;
+  this->warmthAskedAt = Now();
+  Spawn([this, route] {
+    const auto health = ProbeHealth(
+      this->target, route->service->spec.healthPath, this->settings);
+    this->provingWarmth = false;
+    if (health) {
+      this->ApplyHealth(*health);
+    }
+  });
+}
+
 void
 CallServer::RunLoadProbes()
 {
@@ -589,11 +691,10 @@
     if (!route || route->service->spec.healthPath.empty()) {
       continue;
     }
-    const auto load =
-      ProbeLoad(this->target, route->service->spec.healthPath, this->settings);
-    if (load) {
-      this->UpdateLoad(*load);
-      this->SendLoadUpdates();
+    const auto health = ProbeHealth(
+      this->target, route->service->spec.healthPath, this->settings);
+    if (health) {
+      this->ApplyHealth(*health);
     }
   }
 }
@@ -725,7 +826,7 @@
     return std::nullopt;
   }
   return this->reporter.PiggybackReport(
-    *connection, this->admission.Report(), *route->state);
+    *connection, this->admission.Report(Now()), *route->state);
 }
 
 LoggedCall
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -278,7 +278,7 @@
     TimePoint nextRefresh = Now();
     TimePoint nextRetryLog = Now();
     while (true) {
-      const bool waiting = this->calls.AdmissionControl().Report().queued > 0;
+      const bool waiting = this->calls.AdmissionControl().Report(Now()).queued > 0;
       const TimePoint due = Now() + (waiting ? kTickPeriod : kRefreshPeriod);
       boost::this_fiber::sleep_until(due);
       this->timerDelays.Record(Now() - due);
@@ -436,7 +436,8 @@
         this->pacer.Spent(),
         this->quarantine.Size(),
         this->gossip.Counts(),
-        this->calls.AdmissionControl().Report(),
+        this->calls.AdmissionControl().Report(Now()),
+        this->calls.AdmissionControl().Warmup().IsCold(Now()),
         this->membership,
         this->callerConnections,
         this->timerDelays });
