Evacuated availability zones get no more calls

Cause: an operator may evacuate an availability zone; nothing read it. Change: a few daemons of each zone watch the platform's evacuations, gossip carries them with the store's revision (decision/evacuation), and they are enforced by the routing table and by the daemon beside each target, which returns what waits as 'evacuated'. Off unless evacuation.time_ms is set; without an evacuation datagrams are as before. Events zone_evacuated (with the capacity that is left) and zone_restored, metric evacuated_zones. The built-in store has no evacuations.

--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -142,6 +142,13 @@
   double logCallShare = 0.01;
 };
 
+struct EvacuationSettings
+{
+  /// Time after the publication of an evacuation from which on nothing more is
+  /// sent to targets of the zone; 0: evacuations are not read.
+  Millis time{ 0 };
+};
+
 struct WorkspaceSettings
 {
   /// Time after the publication of a configuration from which on no daemon
@@ -191,6 +198,7 @@
   Timeouts timeouts;
   ControlBudget control;
   WorkspaceSettings workspaces;
+  EvacuationSettings evacuation;
 
   /// Returns the address that identifies this daemon to the others.
   Endpoint Identity() const { return this->announced.value_or(this->peers); }
--- a/include/baobab/decision/gossip_message.hpp
+++ b/include/baobab/decision/gossip_message.hpp
@@ -1,6 +1,7 @@
 /// @file
 #pragma once
 
+#include "baobab/decision/evacuation.hpp"
 #include "baobab/decision/member.hpp"
 #include "baobab/decision/region_contacts.hpp"
 #include "baobab/decision/store_freshness.hpp"
@@ -42,6 +43,8 @@
   /// Hash of all suspicions that the sender holds.
   std::uint64_t suspicionDigest = 0;
   std::vector<RegionAge> contacts;
+  /// Evacuated zones, if there are any or were lately.
+  std::optional<EvacuatedZones> evacuated;
 };
 
 /// A datagram and its destination.
--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -288,6 +288,28 @@
 
 // Object store and peers.
 
+inline constexpr LogEvent kZoneEvacuated{
+  "zone_evacuated",
+  "evacuation",
+  LogLevel::Warning,
+  LogDropPolicy::DropLast,
+  "An availability zone is evacuated: its targets get no more calls.",
+  std::array{
+    LogField{ "zone", "availability zone" },
+    LogField{ "service", "service with the smallest part of its slots left" },
+    LogField{ "slots_left", "slots of its targets in other zones" },
+    LogField{ "slots", "slots of all its targets" } }
+};
+
+inline constexpr LogEvent kZoneRestored{
+  "zone_restored",
+  "evacuation",
+  LogLevel::Info,
+  LogDropPolicy::DropLast,
+  "The evacuation of an availability zone has ended.",
+  std::array{ LogField{ "zone", "availability zone" } }
+};
+
 inline constexpr LogEvent kStoreLost{
   "store_lost",
   "config",
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -81,6 +81,10 @@
   /// Refuses all waiting calls and all new ones.
   void StartShutdown();
 
+  /// Begins or ends an evacuation of the target's availability zone. Waiting
+  /// calls and new ones are refused meanwhile; calls that run are not affected.
+  void SetEvacuated(bool aEvacuated);
+
   /// Number of calls that run or wait.
   std::size_t InFlight() const;
 
@@ -140,6 +144,7 @@
                   TimePoint aArrivedAt,
                   TimePoint aDeadline);
   void RefuseWaiting(const CallId& aId, NotRun aRefusal);
+  void RefuseAllWaiting(const NotRun& aRefusal);
   std::vector<DequeuedCall> StartCall(WaitingCall aWaiting);
   void RunCall(const CallMessage& aCall, TimePoint aDeadline);
   void FinishCall(const CallMessage& aCall,
@@ -181,6 +186,7 @@
   CallLedger ledger;
   RequestLimit requestLimit;
   bool shuttingDown = false;
+  bool evacuated = false;
   AnnouncementFilter announcements;
   /// Last announcement that needs a proof, until the target is asked.
   std::optional<TargetAnnouncement> unproven;
--- a/include/baobab/node/daemon.hpp
+++ b/include/baobab/node/daemon.hpp
@@ -5,6 +5,7 @@
 
 #include "baobab/core/result.hpp"
 #include "baobab/net/config_source.hpp"
+#include "baobab/net/evacuation_source.hpp"
 #include "baobab/net/store.hpp"
 #include "baobab/node/settings_reloader.hpp"
 
@@ -23,6 +24,10 @@
   std::function<std::unique_ptr<ConfigSource>(boost::asio::io_context&,
                                               const Endpoint&)>
     openConfig;
+  /// Unset if the platform has no evacuations of availability zones.
+  std::function<std::unique_ptr<EvacuationSource>(boost::asio::io_context&,
+                                                  const Endpoint&)>
+    openEvacuations;
 };
 
 /// Returns the built-in platform: the HTTP object store and the manifest
--- a/include/baobab/node/daemon_metrics.hpp
+++ b/include/baobab/node/daemon_metrics.hpp
@@ -26,6 +26,7 @@
   const GossipCounts& gossip;
   LoadReport target;
   bool targetCold = false;
+  std::size_t evacuatedZones = 0;
   const Membership& members;
   std::uint64_t callerConnections = 0;
   /// Delays of the control thread's timer beyond its due time.
--- a/include/baobab/node/gossip_agent.hpp
+++ b/include/baobab/node/gossip_agent.hpp
@@ -75,6 +75,10 @@
 
   /// Called with the configuration generation that a peer advertises.
   std::function<void(const Endpoint&, std::uint64_t)> onGeneration;
+  /// Returns the evacuated zones to be sent with each datagram, if any.
+  std::function<std::optional<EvacuatedZones>()> evacuatedZones;
+  /// Called with the evacuated zones that a peer knows.
+  std::function<void(const EvacuatedZones&)> onEvacuatedZones;
   /// Called after a datagram with suspicions, which may change routing.
   std::function<void()> onSuspicions;
 
--- a/include/baobab/node/route_publisher.hpp
+++ b/include/baobab/node/route_publisher.hpp
@@ -33,6 +33,9 @@
   /// Sets changed settings; they are in force on return.
   void SetLiveSettings(const LiveSettings& aLive);
 
+  /// Excludes the targets of these availability zones; in force on return.
+  void SetEvacuatedZones(std::vector<std::string> aZones);
+
   /// Publishes a new table if any input has changed.
   void Refresh(TimePoint aNow);
 
--- a/include/baobab/node/route_table.hpp
+++ b/include/baobab/node/route_table.hpp
@@ -98,6 +98,9 @@
   /// Excludes the targets of these regions from now on.
   void SetSilentRegions(std::vector<std::string> aRegions);
 
+  /// Excludes the targets of these availability zones from now on.
+  void SetEvacuatedZones(std::vector<std::string> aZones);
+
   /// Sets the configuration of the tables to come.
   void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
 
@@ -124,7 +127,10 @@
   void RemoveTarget(const Endpoint& aEndpoint);
 
   Locality locality;
+  bool IsExcluded(const Locality& aLocality) const;
+
   std::vector<std::string> silentRegions;
+  std::vector<std::string> evacuatedZones;
   std::unordered_map<std::string, Service> services;
   /// Name of the service of each routable target.
   std::unordered_map<Endpoint, std::string> serviceOf;
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -354,6 +354,13 @@
       "accepts a key that it has withdrawn; calls with keys are refused while "
       "the configuration is not known to be newer than that. 0: never "
       "refused."),
+    DurationField<S>(
+      "evacuation.time_ms",
+      [](S& s) -> auto& { return s.evacuation.time; },
+      { 0, 600000 },
+      "ms",
+      "Time after the publication of an evacuation in which daemons learn of "
+      "it; 0: evacuations are not read."),
     DurationField<S>(
       "control.status_ms",
       [](S& s) -> auto& { return s.control.statusPeriod; },
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -33,6 +33,13 @@
            aSettings.timeouts.announcement };
 }
 
+NotRun
+EvacuationRefusal()
+{
+  return { RefusalReason::Evacuated,
+           "the target's availability zone is evacuated" };
+}
+
 }
 
 CallServer::CallServer(TargetClient& aTarget,
@@ -149,6 +156,9 @@
   if (this->shuttingDown) {
     return NotRun{ RefusalReason::Leaving, "the daemon is shutting down" };
   }
+  if (this->evacuated) {
+    return EvacuationRefusal();
+  }
   if (aCall.request.service != this->admission.Service()) {
     return NotRun{ RefusalReason::WrongService,
                    "the target runs another service" };
@@ -407,14 +417,29 @@
 CallServer::StartShutdown()
 {
   this->shuttingDown = true;
+  this->RefuseAllWaiting(
+    { RefusalReason::Leaving, "the daemon is shutting down" });
+}
+
+void
+CallServer::SetEvacuated(bool aEvacuated)
+{
+  this->evacuated = aEvacuated;
+  if (aEvacuated) {
+    this->RefuseAllWaiting(EvacuationRefusal());
+  }
+}
+
+void
+CallServer::RefuseAllWaiting(const NotRun& aRefusal)
+{
   std::vector<CallId> ids;
   std::ranges::transform(this->waiting,
                          std::back_inserter(ids),
                          [](const auto& aItem) { return aItem.first; });
   for (const CallId& id : ids) {
     this->admission.Withdraw(id);
-    this->RefuseWaiting(
-      id, { RefusalReason::Leaving, "the daemon is shutting down" });
+    this->RefuseWaiting(id, aRefusal);
   }
 }
 
@@ -545,7 +570,8 @@
     [&]() -> std::optional<SendPermit> {
       // A repeat is an arrival at the target like any other.
       auto permit = route ? route->state->retryBudget.Spend() : std::nullopt;
-      const bool allowed = permit && this->requestLimit.TryStart(Now()) &&
+      const bool allowed = permit && !this->evacuated &&
+                           this->requestLimit.TryStart(Now()) &&
                            this->admission.Warmup().TryStart(Now());
       return allowed ? std::move(permit) : std::nullopt;
     });
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -10,6 +10,7 @@
 #include "baobab/node/call_server.hpp"
 #include "baobab/node/config_agent.hpp"
 #include "baobab/node/daemon_metrics.hpp"
+#include "baobab/node/evacuation_agent.hpp"
 #include "baobab/node/gossip_agent.hpp"
 #include "baobab/node/ingress_pool.hpp"
 #include "baobab/node/metrics.hpp"
@@ -116,6 +117,12 @@
         aPlatform.openStore(this->control.Context(), this->settings.store),
         this->quarantine,
         this->membership)
+    , evacuations(aPlatform.openEvacuations
+                    ? aPlatform.openEvacuations(this->control.Context(),
+                                                this->settings.store)
+                    : nullptr,
+                  this->membership,
+                  this->settings)
     , target(this->control.Context(), this->settings)
     , calls(
         this->target,
@@ -216,6 +223,13 @@
     this->quarantineAgent.onSuspicions = [this] {
       this->publisher.MarkChanged();
     };
+    this->gossip.evacuatedZones = [this] {
+      return this->evacuations.Known().ToSpread(Now());
+    };
+    this->gossip.onEvacuatedZones = [this](const EvacuatedZones& aZones) {
+      this->evacuations.Merge(aZones);
+    };
+    this->evacuations.onChanged = [this] { this->ApplyEvacuations(); };
     this->calls.onSuspectsChanged = [this] {
       this->publisher.MarkChanged();
       this->gossip.Send(this->membership.PushUpdates());
@@ -233,6 +247,7 @@
     Spawn([this] { this->config.Run(); });
     Spawn([this] { this->config.RunAudits(); });
     Spawn([this] { this->quarantineAgent.Run(); });
+    Spawn([this] { this->evacuations.Run(); });
     Spawn([this] { this->status.RunReports(); });
     Spawn([this] { this->status.RunAggregation(); });
     Spawn([this] { this->RunTimers(); });
@@ -278,7 +293,8 @@
     TimePoint nextRefresh = Now();
     TimePoint nextRetryLog = Now();
     while (true) {
-      const bool waiting = this->calls.AdmissionControl().Report(Now()).queued > 0;
+      const bool waiting =
+        this->calls.AdmissionControl().Report(Now()).queued > 0;
       const TimePoint due = Now() + (waiting ? kTickPeriod : kRefreshPeriod);
       boost::this_fiber::sleep_until(due);
       this->timerDelays.Record(Now() - due);
@@ -358,6 +374,15 @@
     }
   }
 
+  /// Applies changed evacuations and tells other daemons at once.
+  void ApplyEvacuations()
+  {
+    const Evacuations& known = this->evacuations.Known();
+    this->calls.SetEvacuated(known.Contains(this->settings.locality.zone));
+    this->publisher.SetEvacuatedZones(known.Current().zones);
+    this->gossip.Send(this->membership.PushUpdates());
+  }
+
   /// Handles a message of the control protocol; returns false for any other.
   bool HandleControlMessage(const std::shared_ptr<FrameConnection>& aFrames,
                             const PeerMessage& aMessage)
@@ -432,12 +457,14 @@
         this->config.IsReader(),
         this->freshness.Current(this->config.Generation(), Now()),
         this->config.StoreCalls() + this->gossip.StoreCalls() +
-          this->quarantineAgent.StoreCalls() + this->status.StoreCalls(),
+          this->quarantineAgent.StoreCalls() + this->evacuations.StoreCalls() +
+          this->status.StoreCalls(),
         this->pacer.Spent(),
         this->quarantine.Size(),
         this->gossip.Counts(),
         this->calls.AdmissionControl().Report(Now()),
         this->calls.AdmissionControl().Warmup().IsCold(Now()),
+        this->evacuations.Known().Current().zones.size(),
         this->membership,
         this->callerConnections,
         this->timerDelays });
@@ -488,6 +515,7 @@
   ConfigAgent config;
   GossipAgent gossip;
   QuarantineAgent quarantineAgent;
+  EvacuationAgent evacuations;
   TargetClient target;
   CallServer calls;
   PeerServer peers;
--- a/src/baobab/node/daemon_metrics.cpp
+++ b/src/baobab/node/daemon_metrics.cpp
@@ -76,6 +76,7 @@
   add("target_queued", aStats.target.queued);
   add("target_slots", aStats.target.slots);
   add("target_slowness_percent", aStats.target.slowness);
+  add("evacuated_zones", aStats.evacuatedZones);
   add("target_cold", aStats.targetCold ? 1 : 0);
   add("caller_connections_total", aStats.callerConnections);
   aPage.AddHistogram("timer_delay_seconds", "", aStats.timerDelays);
--- a/src/baobab/node/gossip_agent.cpp
+++ b/src/baobab/node/gossip_agent.cpp
@@ -122,6 +122,9 @@
   if (this->onGeneration) {
     this->onGeneration(gossip.sender.endpoint, gossip.generation);
   }
+  if (gossip.evacuated && this->onEvacuatedZones) {
+    this->onEvacuatedZones(*gossip.evacuated);
+  }
   if (!gossip.suspicions.empty() && this->onSuspicions) {
     this->onSuspicions();
   }
@@ -139,7 +142,10 @@
 void
 GossipAgent::Send(std::vector<GossipSend> aSends, bool aSuspicionsDiffer)
 {
+  const auto evacuated =
+    this->evacuatedZones ? this->evacuatedZones() : std::nullopt;
   for (GossipSend& send : aSends) {
+    send.message.evacuated = evacuated;
     send.message.confirmation =
       this->freshness.Current(send.message.generation, Now());
     send.message.suspicionDigest = this->quarantine.Digest();
--- a/src/baobab/node/route_publisher.cpp
+++ b/src/baobab/node/route_publisher.cpp
@@ -53,6 +53,14 @@
   this->Refresh(Now());
 }
 
+void
+RoutePublisher::SetEvacuatedZones(std::vector<std::string> aZones)
+{
+  this->builder.SetEvacuatedZones(std::move(aZones));
+  this->changed = true;
+  this->Refresh(Now());
+}
+
 void
 RoutePublisher::Refresh(TimePoint aNow)
 {
--- a/src/baobab/node/route_table.cpp
+++ b/src/baobab/node/route_table.cpp
@@ -98,6 +98,28 @@
   }
 }
 
+void
+RouteTableBuilder::SetEvacuatedZones(std::vector<std::string> aZones)
+{
+  if (aZones == this->evacuatedZones) {
+    return;
+  }
+  this->evacuatedZones = std::move(aZones);
+  for (auto& [name, service] : this->services) {
+    service.changed = true;
+  }
+}
+
+bool
+RouteTableBuilder::IsExcluded(const Locality& aLocality) const
+{
+  const auto contains = [](const auto& aNames, const std::string& aName) {
+    return std::ranges::find(aNames, aName) != aNames.end();
+  };
+  return contains(this->silentRegions, aLocality.region) ||
+         contains(this->evacuatedZones, aLocality.zone);
+}
+
 void
 RouteTableBuilder::SetConfiguration(
   std::shared_ptr<const Configuration> aConfiguration)
@@ -143,8 +165,7 @@
   route->service = aService;
   route->state = service.state;
   for (const auto& [endpoint, target] : service.targets) {
-    if (std::ranges::find(this->silentRegions, target.locality.region) ==
-        this->silentRegions.end()) {
+    if (!this->IsExcluded(target.locality)) {
       const Tier tier = TierBetween(this->locality, target.locality);
       route->tiers[static_cast<std::size_t>(tier)].push_back(target.entry);
     }
--- a/src/baobab/node/route_table_test.cpp
+++ b/src/baobab/node/route_table_test.cpp
@@ -150,6 +150,38 @@
   BOOST_TEST(ChooseIsolated(*table->serviceRoutes[0], 77).target == first);
 }
 
+BOOST_AUTO_TEST_CASE(targets_of_evacuated_zones_are_left_out)
+{
+  RouteTableBuilder builder(kHere);
+  builder.Update(Member(1));
+  builder.Update(Member(2, { "perth", "south" }));
+  const Configuration configuration = ConfigurationOf(kServiceFile);
+  builder.SetEvacuatedZones({ "north" });
+  auto table = BuildWith(builder, configuration);
+  BOOST_TEST(table->TargetCount() == 1U);
+  SplitMix random(1);
+  const auto chosen = ChooseTarget(
+    *table->FindService("quoting"), {}, ChoiceTerms{}, random, kNow);
+  BOOST_REQUIRE(chosen.target != nullptr);
+  BOOST_TEST((chosen.target->locality.zone == "south"));
+  // A second attempt goes nowhere else, and neither does one that isolates.
+  BOOST_TEST((ChooseTarget(*table->FindService("quoting"),
+                           { chosen.target->endpoint },
+                           ChoiceTerms{},
+                           random,
+                           kNow)
+                .target == nullptr));
+  for (std::uint64_t fingerprint = 0; fingerprint < 20; ++fingerprint) {
+    const auto isolated =
+      ChooseIsolated(*table->FindService("quoting"), fingerprint);
+    BOOST_TEST((isolated.target == chosen.target));
+  }
+  builder.SetEvacuatedZones({ "north", "south" });
+  BOOST_TEST(BuildWith(builder, configuration)->TargetCount() == 0U);
+  builder.SetEvacuatedZones({});
+  BOOST_TEST(BuildWith(builder, configuration)->TargetCount() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/src/baobab/wire/codec_test.cpp
+++ b/src/baobab/wire/codec_test.cpp
@@ -51,6 +51,7 @@
   message.updates = { message.sender, message.sender };
   message.suspicions = { { 1, 2, 0.5, true, 3s } };
   message.contacts = { { "perth", 20ms } };
+  message.evacuated = EvacuatedZones{ 41, { "north", "south" } };
   return message;
 }
 
@@ -72,7 +73,9 @@
   }
   if (aUpdates == 0) {
     message.confirmation.reset();
+    message.evacuated.reset();
   } else {
+    message.evacuated->zones.assign(aUpdates, std::string(aTextLength, 'z'));
     message.confirmation->position = std::string(aTextLength, 'p');
   }
   message.updates.assign(aUpdates, message.sender);
@@ -93,7 +96,7 @@
   return aLeft.kind == aRight.kind && aLeft.nonce == aRight.nonce &&
          aLeft.generation == aRight.generation &&
          aLeft.confirmation == aRight.confirmation &&
-         aLeft.digest == aRight.digest &&
+         aLeft.evacuated == aRight.evacuated && aLeft.digest == aRight.digest &&
          aLeft.suspicionDigest == aRight.suspicionDigest &&
          aLeft.sender == aRight.sender && aLeft.subject == aRight.subject &&
          aLeft.updates == aRight.updates && aLeft.contacts == aRight.contacts &&
@@ -149,6 +152,7 @@
   BOOST_TEST((received.subject == sent.subject));
   BOOST_TEST((received.contacts == sent.contacts));
   BOOST_TEST((received.confirmation == sent.confirmation));
+  BOOST_TEST((received.evacuated == sent.evacuated));
   BOOST_REQUIRE(received.suspicions.size() == 1U);
   BOOST_TEST(received.suspicions[0].cleared);
   BOOST_TEST((received.suspicions[0].remaining == 3s));
--- a/src/baobab/wire/gossip_codec.cpp
+++ b/src/baobab/wire/gossip_codec.cpp
@@ -13,6 +13,9 @@
 /// Longest position in the store's history that is accepted from a peer.
 constexpr std::size_t kMaxPositionBytes = 128;
 
+/// Evacuated zones that are accepted from a peer.
+constexpr std::size_t kMaxEvacuatedZones = 64;
+
 Error
 BadMessageError(const char* aMessage)
 {
@@ -55,6 +58,12 @@
                                std::numeric_limits<std::uint32_t>::max())),
       position);
   }
+  flatbuffers::Offset<wire::fb::Evacuations> evacuated;
+  if (aMessage.evacuated) {
+    const auto zones = builder.CreateVectorOfStrings(aMessage.evacuated->zones);
+    evacuated =
+      wire::fb::CreateEvacuations(builder, aMessage.evacuated->revision, zones);
+  }
   const Endpoint subject = aMessage.subject.value_or(Endpoint{});
   const auto root =
     wire::fb::CreateGossip(builder,
@@ -70,7 +79,8 @@
                            builder.CreateVectorOfStructs(suspicions),
                            builder.CreateVector(contacts),
                            aMessage.suspicionDigest,
-                           confirmation);
+                           confirmation,
+                           evacuated);
   builder.Finish(root, wire::fb::GossipIdentifier());
   return { reinterpret_cast<const char*>(builder.GetBufferPointer()),
            builder.GetSize() };
@@ -140,6 +150,15 @@
     message.confirmation = ConfirmationAge{ Millis(confirmation->age_ms()),
                                             confirmation->position()->str() };
   }
+  if (const auto* evacuated = gossip.evacuations()) {
+    if (evacuated->zones()->size() > kMaxEvacuatedZones) {
+      return BadMessageError("too many evacuated zones");
+    }
+    message.evacuated = EvacuatedZones{ evacuated->revision(), {} };
+    for (const auto* zone : *evacuated->zones()) {
+      message.evacuated->zones.push_back(zone->str());
+    }
+  }
   if (gossip.contacts() != nullptr) {
     for (const wire::fb::RegionAge* contact : *gossip.contacts()) {
       message.contacts.push_back(
