--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -67,6 +67,10 @@
   /// Age of the local target's load report from which on its health path is
   /// queried; 0: never.
   Millis loadProbeAge{ 0 };
+  /// Shortest time between questions to the local target whether it is cold,
+  /// which it gets while calls arrive and its service limits the calls to a
+  /// cold target; 0: it is not asked.
+  Millis warmthProbePeriod{ 0 };
   /// Time during which a new daemon has no share of the fleet's budgets.
   Millis settling{ 30000 };
 };
@@ -143,6 +147,13 @@
   double logCallShare = 0.01;
 };
 
+struct EvacuationSettings
+{
+  /// Time after the publication of an evacuation from which on nothing more is
+  /// sent to targets of the zone; 0: evacuations are not read.
+  Millis time{ 0 };
+};
+
 struct WorkspaceSettings
 {
   /// Time after the publication of a configuration from which on no daemon
@@ -194,6 +205,7 @@
   Timeouts timeouts;
   ControlBudget control;
   WorkspaceSettings workspaces;
+  EvacuationSettings evacuation;
 
   /// Returns the address that identifies this daemon to the others.
   Endpoint Identity() const { return this->announced.value_or(this->peers); }
--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -173,6 +173,18 @@
   std::array{ LogField{ "requests_per_second", "0 if the limit has ended" } }
 };
 
+inline constexpr LogEvent kTargetWarmth{
+  "target_warmth",
+  "target",
+  LogLevel::Info,
+  LogDropPolicy::DropFirst,
+  "The target has become cold or warm. A cold one gets a limited number of "
+  "calls.",
+  std::array{ LogField{ "instance", "instance of the target" },
+              LogField{ "state", "cold or warm" },
+              LogField{ "calls_per_second", "calls that it takes while cold" } }
+};
+
 inline constexpr LogEvent kQuarantineRead{
   "quarantine_read",
   "target",
@@ -276,6 +288,28 @@
 
 // Object store and peers.
 
+inline constexpr LogEvent kZoneEvacuated{
+  "zone_evacuated",
+  "evacuation",
+  LogLevel::Warning,
+  LogDropPolicy::DropLast,
+  "An availability zone is evacuated: its targets get no more calls.",
+  std::array{
+    LogField{ "zone", "availability zone" },
+    LogField{ "service", "service with the smallest part of its slots left" },
+    LogField{ "slots_left", "slots of its targets in other zones" },
+    LogField{ "slots", "slots of all its targets" } }
+};
+
+inline constexpr LogEvent kZoneRestored{
+  "zone_restored",
+  "evacuation",
+  LogLevel::Info,
+  LogDropPolicy::DropLast,
+  "The evacuation of an availability zone has ended.",
+  std::array{ LogField{ "zone", "availability zone" } }
+};
+
 inline constexpr LogEvent kStoreLost{
   "store_lost",
   "config",
--- a/include/baobab/node/call_server.hpp
+++ b/include/baobab/node/call_server.hpp
@@ -15,6 +15,7 @@
 #include "baobab/node/route_table.hpp"
 #include "baobab/node/sender_connections.hpp"
 #include "baobab/node/target_client.hpp"
+#include "baobab/node/target_probe.hpp"
 
 #include <functional>
 #include <memory>
@@ -80,6 +81,10 @@
   /// Refuses all waiting calls and all new ones.
   void StartShutdown();
 
+  /// Begins or ends an evacuation of the target's availability zone. Waiting
+  /// calls and new ones are refused meanwhile; calls that run are not affected.
+  void SetEvacuated(bool aEvacuated);
+
   /// Number of calls that run or wait.
   std::size_t InFlight() const;
 
@@ -139,6 +144,7 @@
                   TimePoint aArrivedAt,
                   TimePoint aDeadline);
   void RefuseWaiting(const CallId& aId, NotRun aRefusal);
+  void RefuseAllWaiting(const NotRun& aRefusal);
   std::vector<DequeuedCall> StartCall(WaitingCall aWaiting);
   void RunCall(const CallMessage& aCall, TimePoint aDeadline);
   void FinishCall(const CallMessage& aCall,
@@ -155,6 +161,12 @@
                                         const RunningCall& aRun);
   void ApplySignals(const TargetSignals& aSignals, std::string_view aInstance);
   void UpdateLoad(const LoadReport& aLoad);
+  void ApplyHealth(const HealthReport& aHealth);
+  bool IsAskedForWarmth(const ServiceSpec& aSpec) const;
+  void ApplyWarmup(const TargetAnnouncement& aAnnouncement,
+                   const TargetAnnouncement& aBefore);
+  void LogWarmth(bool aWasCold);
+  void ProveWarmth();
   void SendLoadUpdates();
   NotRun LimitRefusal() const;
   bool IsSuspectRunning() const;
@@ -174,10 +186,15 @@
   CallLedger ledger;
   RequestLimit requestLimit;
   bool shuttingDown = false;
+  bool evacuated = false;
   AnnouncementFilter announcements;
   /// Last announcement that needs a proof, until the target is asked.
   std::optional<TargetAnnouncement> unproven;
   bool proving = false;
+  /// True once the target's health path has told how warm it is.
+  bool warmthReported = false;
+  bool provingWarmth = false;
+  TimePoint warmthAskedAt;
   TargetStats stats;
   SenderConnections senders;
   LoadReporter reporter{ this->senders };
--- a/include/baobab/node/daemon_metrics.hpp
+++ b/include/baobab/node/daemon_metrics.hpp
@@ -26,6 +26,8 @@
   std::size_t suspects = 0;
   const GossipCounts& gossip;
   LoadReport target;
+  bool targetCold = false;
+  std::size_t evacuatedZones = 0;
   const Membership& members;
   std::uint64_t callerConnections = 0;
   /// Delays of the control thread's timer beyond its due time.
--- a/include/baobab/node/gossip_agent.hpp
+++ b/include/baobab/node/gossip_agent.hpp
@@ -84,6 +84,10 @@
   std::function<void(const Endpoint&, std::uint64_t)> onGeneration;
   /// Called with each question for a proof and each answer.
   std::function<void(const LeaseMessage&)> onLease;
+  /// Returns the evacuated zones to be sent with each datagram, if any.
+  std::function<std::optional<EvacuatedZones>()> evacuatedZones;
+  /// Called with the evacuated zones that a peer knows.
+  std::function<void(const EvacuatedZones&)> onEvacuatedZones;
   /// Called after a datagram with suspicions, which may change routing.
   std::function<void()> onSuspicions;
 
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -328,6 +328,14 @@
       "ms",
       "Age of the local target's load report from which on its health path is "
       "queried while it has calls; 0: never."),
+    DurationField<S>(
+      "control.warmth_probe_ms",
+      [](S& s) -> auto& { return s.control.warmthProbePeriod; },
+      { 0, 60000 },
+      "ms",
+      "Shortest time between questions to the local target's health path "
+      "whether it is cold, while it has calls and its service file sets "
+      "`warmup.rate_per_s`; 0: it is not asked."),
     DurationField<S>(
       "control.settling_ms",
       [](S& s) -> auto& { return s.control.settling; },
@@ -364,6 +372,13 @@
       "accepts a key that it has withdrawn; calls with keys are refused while "
       "the configuration is not known to be newer than that. 0: never "
       "refused."),
+    DurationField<S>(
+      "evacuation.time_ms",
+      [](S& s) -> auto& { return s.evacuation.time; },
+      { 0, 600000 },
+      "ms",
+      "Time after the publication of an evacuation in which daemons learn of "
+      "it; 0: evacuations are not read."),
     DurationField<S>(
       "control.status_ms",
       [](S& s) -> auto& { return s.control.statusPeriod; },
