--- a/testing/integration/revocation_test.sh
+++ b/testing/integration/revocation_test.sh
@@ -60,7 +60,12 @@
   wait_status $n /x 503 12
   [ "$(status_of $n /open/x)" = 200 ] || fail "host $n: anonymous call refused"
 done
-grep -q keys-outdated "$WORK"/daemon-1.log || fail "the reason is not logged"
+# Lines are written by a thread of their own.
+end=$((SECONDS + 10))
+until grep -q keys-outdated "$WORK"/daemon-1.log; do
+  [ $SECONDS -lt $end ] || fail "the reason is not logged"
+  sleep 0.1
+done
 kill -CONT "$STORE_PID"
 for n in 1 2 3; do
   wait_status $n /x 200 20
