--- a/include/baobab/net/http_server.hpp
+++ b/include/baobab/net/http_server.hpp
@@ -16,7 +16,7 @@
 namespace baobab {
 
 /// Bytes that a connection without a request holds: its fiber and its buffer.
-constexpr std::size_t kConnectionBytes = 32U << 10U;
+constexpr std::size_t kConnectionBytes = 16U << 10U;
 
 /// Limits of a connection. The body timeout also applies to writing a response.
 struct HttpLimits
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -235,9 +235,8 @@
       0,
       1000000,
       "MB",
-      "Memory that the process may use, in units of 1,048,576 bytes. Large "
-      "requests and answers that don't fit into it together are refused; 0: "
-      "not known, nothing is refused."),
+      "Memory that the process may use. Large requests and answers that don't "
+      "fit into it together are refused; 0: not known, nothing is refused."),
     EnumField<S, std::string>(
       "log.format",
       [](S& s) -> auto& { return s.logFormat; },
--- a/src/baobab/net/body_reader.cpp
+++ b/src/baobab/net/body_reader.cpp
@@ -13,8 +13,11 @@
 
 namespace http = boost::beast::http;
 
+/// Bytes that are read at once at most.
+constexpr std::size_t kReadBytes = 16U << 10U;
+
 /// Bytes that may lie in the socket or the buffer before they are counted.
-constexpr std::size_t kUnreadBytes = kReceiveBufferBytes;
+constexpr std::size_t kUnreadBytes = kReceiveBufferBytes + 2 * kReadBytes;
 
 /// Largest body with a known length that may use the reserve.
 constexpr std::size_t kSmallBodyBytes = 64U << 10U;
@@ -74,7 +77,7 @@
   }
   const std::size_t before = this->buffer.max_size();
   this->buffer.max_size(std::max(this->buffer.size(), this->maxBufferBytes) +
-                        kUnreadBytes);
+                        kReadBytes);
   this->parser.eager(true);
   Unfinished().push_back(this);
   const IoResult result = this->ReadAll();
--- a/src/baobab/node/memory_limit.cpp
+++ b/src/baobab/node/memory_limit.cpp
@@ -19,7 +19,7 @@
 void
 LimitMemory(double aMegabytes)
 {
-  constexpr double kMegabyte = 1 << 20;
+  constexpr double kMegabyte = 1e6;
   const auto bytes = static_cast<std::int64_t>(aMegabytes * kMegabyte);
   if (bytes <= 0) {
     return;
