--- a/review/standins.py
+++ b/review/standins.py
@@ -382,7 +382,6 @@
             "service": self.service,
             "app_addr": "%s:%d" % (self.ip, self.app),
             "limits.link_mbps": "1000.0",
-            "limits.memory_mb": "260",
             "listen.outbound": "%s:%d" % (self.ip, self.outbound),
             "internal_ports.0": str(self.peers),
             "listen.admin": "%s:%d" % (self.ip, self.admin),
@@ -395,10 +394,6 @@
         values.update(("bounds." + k, str(v)) for k, v in BOUNDS.items())
         with open(os.path.join(ROOT, "deploy", "settings.toml")) as file:
             text = file.read()
-        text = re.sub(
-            r"\{\{#([^}]*)\}\}\n?(.*?)\{\{/\1\}\}\n?",
-            lambda m: m[2] if values.get(m[1], "False") != "False" else "",
-            text, flags=re.S)
         text = re.sub(r"\{\{([^}]*)\}\}", lambda m: values[m[1]], text)
         # The port of the metrics is fixed in the template; a free one is used.
         text = text.replace(":9464", ":%d" % (self.peers + 1))
