Bodies: one gives way after the other

A body that needs room waited 1 ms and then told the next one to give way, also if the first had not run yet; on a slow host a whole crowd would have been refused for one body. It now waits until the memory is free, 32 ms at most.

--- a/src/baobab/net/body_reader.cpp
+++ b/src/baobab/net/body_reader.cpp
@@ -29,9 +29,10 @@
 /// Capacity above which an empty buffer is freed.
 constexpr std::size_t kMaxIdleBufferBytes = 16U << 10U;
 
-/// Time for another body to free its memory.
-constexpr Duration kGiveWayTime = std::chrono::milliseconds(1);
-constexpr int kMaxGiveWays = 32;
+/// Interval between checks whether a body that gives way has freed its memory,
+/// and their number after which the next one gives way.
+constexpr Duration kGiveWayCheck = std::chrono::milliseconds(1);
+constexpr int kMaxGiveWayChecks = 32;
 
 /// Unfinished bodies of this thread.
 std::vector<BodyReader*>&
@@ -41,6 +42,13 @@
   return readers;
 }
 
+/// True if a body still holds memory after it was told to give way.
+bool
+AnyGivesWay()
+{
+  return std::ranges::any_of(Unfinished(), &BodyReader::GaveWay);
+}
+
 }
 
 BodyReader::BodyReader(Tcp::socket& aStream,
@@ -171,7 +179,9 @@
     return false;
   }
   readers[chosen]->GiveWay();
-  boost::this_fiber::sleep_for(kGiveWayTime);
+  for (int i = 0; i < kMaxGiveWayChecks && AnyGivesWay(); ++i) {
+    boost::this_fiber::sleep_for(kGiveWayCheck);
+  }
   return !this->gaveWay;
 }
 
