--- a/include/baobab/core/time.hpp
+++ b/include/baobab/core/time.hpp
@@ -25,7 +25,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
 };
 
 using BootTime = BootClock::time_point;
