--- a/include/baobab/node/ingress.hpp
+++ b/include/baobab/node/ingress.hpp
@@ -44,7 +44,7 @@
 
 private:
   Response Answer(Request&& aRequest, DisconnectNotifier& aCaller);
-  Response RefuseKey(KeyCheck aCheck);
+  Response RefuseKey(const CallAccess& aAccess);
   Response Run(std::shared_ptr<const Route> aRoute,
                CallAccess aAccess,
                Request&& aRequest,
--- a/include/baobab/node/key_lease_agent.hpp
+++ b/include/baobab/node/key_lease_agent.hpp
@@ -31,11 +31,14 @@
   /// Handles a datagram of another daemon.
   void Handle(const LeaseMessage& aMessage);
 
+  /// Passes the proof on to the workers. Called after a configuration was
+  /// adopted, too.
+  void Publish();
+
 private:
   bool Needed() const;
   void AskStore();
   void AskPeer(const std::vector<Endpoint>& aRanked);
-  void Publish();
 
   ConfigAgent& config;
   GossipAgent& gossip;
--- a/src/baobab/decision/quota_lender.cpp
+++ b/src/baobab/decision/quota_lender.cpp
@@ -53,8 +53,12 @@
     return !aLimits.contains(aAccount.first);
   });
   for (const auto& [workspace, limit] : aLimits) {
-    Account& account = this->accounts[workspace];
+    const auto [found, added] = this->accounts.try_emplace(workspace);
+    Account& account = found->second;
     account.limit = limit;
+    if (added) {
+      account.bucket = limit.Stock();
+    }
     account.bucket =
       std::clamp(limit.Capacity() - static_cast<double>(account.lent),
                  0.0,
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -224,6 +224,7 @@
   {
     this->config.onAdopted = [this](std::uint64_t aGeneration) {
       this->quotas.SetConfiguration(*this->publisher.CurrentConfiguration());
+      this->keyLease.Publish();
       this->membership.SetGeneration(aGeneration);
       this->gossip.Send(this->membership.PushUpdates());
     };
--- a/src/baobab/node/ingress.cpp
+++ b/src/baobab/node/ingress.cpp
@@ -74,6 +74,25 @@
                                                 : CallClass::Good;
 }
 
+/// Refusal of a call whose key may have been withdrawn.
+NotRun
+OutdatedKeys()
+{
+  return { RefusalReason::KeysOutdated,
+           "it is not known whether the key is still valid",
+           false,
+           kLeaseRetry };
+}
+
+/// True for a refusal that says nothing of the load on a route.
+bool
+IsRefusedByWorkspace(const Outcome& aOutcome)
+{
+  const auto* refusal = std::get_if<NotRun>(&aOutcome);
+  return refusal != nullptr && (refusal->reason == RefusalReason::OverQuota ||
+                                refusal->reason == RefusalReason::KeysOutdated);
+}
+
 /// Returns the reason of a call's outcome for the log; empty if it was
 /// answered.
 std::string
@@ -187,19 +206,23 @@
     access.Allowed()
       ? this->Run(
           std::move(route), std::move(access), std::move(aRequest), aCaller)
-      : this->RefuseKey(access.check);
+      : this->RefuseKey(access);
   if (!id.value.empty() && FindHeader(response.headers, id.name).empty()) {
     response.headers.push_back(id);
   }
   return response;
 }
 
-/// Refuses a request without a valid key.
+/// Refuses a request without a valid key. An unknown one may belong to a
+/// configuration that this daemon has not received.
 Response
-Ingress::RefuseKey(KeyCheck aCheck)
+Ingress::RefuseKey(const CallAccess& aAccess)
 {
-  this->keyRefusals.Record(Name(aCheck), Now());
-  return NoAccessResponse(aCheck);
+  this->keyRefusals.Record(Name(aAccess.check), Now());
+  return aAccess.check == KeyCheck::Unknown && aAccess.outdated
+           ? NotRunResponse(OutdatedKeys(),
+                            this->settings.headers.fractionalRetryAfter)
+           : NoAccessResponse(aAccess.check);
 }
 
 Response
@@ -272,10 +295,7 @@
     return std::nullopt;
   }
   if (aCall.keysOutdated) {
-    return NotRun{ RefusalReason::KeysOutdated,
-                   "it is not known whether the key is still valid",
-                   false,
-                   kLeaseRetry };
+    return OutdatedKeys();
   }
   return std::nullopt;
 }
@@ -377,7 +397,7 @@
     [](const RouteTable& aTable) { return aTable.generation; });
   this->stats[aService].Record(summary.idempotent, summary.callClass, latency);
   if (summary.callClass != CallClass::Good &&
-      summary.callClass != CallClass::Late) {
+      summary.callClass != CallClass::Late && !IsRefusedByWorkspace(aOutcome)) {
     aCall.route->state->earlierWait.RecordFailure(Now());
   }
   Response response = std::visit(
--- a/src/baobab/node/key_lease_agent.cpp
+++ b/src/baobab/node/key_lease_agent.cpp
@@ -117,7 +117,10 @@
 void
 KeyLeaseAgent::Publish()
 {
-  if (const auto& proof = this->lease.Latest()) {
+  // A proof of a newer configuration takes the place of an earlier one only
+  // when that is in force: until then the earlier one still holds.
+  if (const auto& proof = this->lease.Latest();
+      proof && proof->generation <= this->config.Generation()) {
     this->cell.Set(*proof);
   }
 }
--- a/src/baobab/node/quota_agent.cpp
+++ b/src/baobab/node/quota_agent.cpp
@@ -16,6 +16,9 @@
 
 constexpr Duration kTimerPeriod = 50ms;
 
+/// Period while no workspace has a limit.
+constexpr Duration kIdlePeriod = 1s;
+
 /// Time between two lines about the refusals of one workspace.
 constexpr Duration kLinePeriod = 10s;
 
@@ -71,7 +74,8 @@
 QuotaAgent::Run()
 {
   while (true) {
-    boost::this_fiber::sleep_for(kTimerPeriod);
+    boost::this_fiber::sleep_for(this->cells.empty() ? kIdlePeriod
+                                                     : kTimerPeriod);
     const TimePoint now = Now();
     this->UpdateMembers(now);
     this->Poll();
