--- a/include/baobab/core/memory_ledger.hpp
+++ b/include/baobab/core/memory_ledger.hpp
@@ -12,6 +12,10 @@
 
 namespace baobab {
 
+/// Largest answer that may use the reserve: its call has run, and without the
+/// answer its outcome would be unknown.
+constexpr std::size_t kReservedAnswerBytes = 256U << 10U;
+
 /// What the bytes are used for.
 enum class MemoryPart : std::uint8_t
 {
--- a/src/baobab/net/body_reader.cpp
+++ b/src/baobab/net/body_reader.cpp
@@ -180,7 +180,8 @@
     return false;
   }
   readers[chosen]->GiveWay();
-  for (int i = 0; i < kMaxGiveWayChecks && AnyGivesWay(); ++i) {
+  for (int i = 0; i < kMaxGiveWayChecks && !this->gaveWay && AnyGivesWay();
+       ++i) {
     boost::this_fiber::sleep_for(kGiveWayCheck);
   }
   return !this->gaveWay;
--- a/src/baobab/net/frame_connection.cpp
+++ b/src/baobab/net/frame_connection.cpp
@@ -143,6 +143,9 @@
     return !aPiece.body.empty() && aPiece.body.data() >= aBody.data() &&
            aPiece.body.data() < aBody.data() + aBody.size();
   };
+  if (!this->IsOpen()) {
+    return;
+  }
   for (Piece& piece : this->outgoing | std::views::filter(refersTo)) {
     piece.owned = piece.body;
     piece.body = piece.owned;
@@ -299,7 +302,9 @@
                                         : MemoryPart::Answers);
   const bool removable = body && body->position + body->size == aLength &&
                          body->position <= frame.size();
-  const bool refused = removable && !held.TryHold(aLength);
+  // Answers of calls that ran use the reserve.
+  const bool reserve = body && body->answer && aLength <= kReservedAnswerBytes;
+  const bool refused = removable && !held.TryHold(aLength, reserve);
   if (refused) {
     RemoveFrameBody(frame, *body);
     held.MarkRefused();
@@ -408,6 +413,9 @@
 {
   boost::system::error_code error;
   this->socket.close(error);
+  // What is being written at the moment is kept apart.
+  this->outgoing.clear();
+  this->unsent = 0;
 }
 
 TimePoint
--- a/src/baobab/net/http_channel.hpp
+++ b/src/baobab/net/http_channel.hpp
@@ -35,6 +35,10 @@
   template<class Start>
   IoResult Read(bool aAlone, Start aStart)
   {
+    // The deadline may have passed while nothing was read.
+    if (this->timedOut) {
+      return { boost::asio::error::timed_out };
+    }
     this->reading = true;
     this->readsAlone = aAlone;
     const IoResult result = Await([&](auto aHandler) {
--- a/src/baobab/net/http_client.cpp
+++ b/src/baobab/net/http_client.cpp
@@ -157,7 +157,8 @@
         return this->Fail(beast::error::timeout);
       }
       if (body.size() >= kCountedBodyBytes &&
-          !held.TryHold(body.size() + kReadBytes)) {
+          !held.TryHold(body.size() + kReadBytes,
+                        body.size() < kReservedAnswerBytes)) {
         held.MarkRefused();
         return this->Fail(http::error::body_limit);
       }
--- a/src/baobab/node/call_server.cpp
+++ b/src/baobab/node/call_server.cpp
@@ -21,6 +21,10 @@
 /// Size of an answer from which on it is sent without a copy.
 constexpr std::size_t kLargeAnswerBytes = 256U << 10U;
 
+/// Time for which a target that did not say whether it is cold is not asked
+/// again.
+constexpr Duration kUnansweredWarmthPause = 200ms;
+
 /// Time between checks whether the service of an announcement is known.
 constexpr Duration kServicePeriod = 50ms;
 
@@ -701,6 +705,9 @@
     if (health) {
       this->ApplyHealth(*health);
     }
+    if (!health || !health->warmupLeft) {
+      this->warmthAskedAt = Now() + kUnansweredWarmthPause;
+    }
   });
 }
 
--- a/src/baobab/wire/gossip_codec.cpp
+++ b/src/baobab/wire/gossip_codec.cpp
@@ -151,12 +151,12 @@
                                             confirmation->position()->str() };
   }
   if (const auto* evacuated = gossip.evacuations()) {
-    if (evacuated->zones()->size() > kMaxEvacuatedZones) {
-      return BadMessageError("too many evacuated zones");
-    }
-    message.evacuated = EvacuatedZones{ evacuated->revision(), {} };
-    for (const auto* zone : *evacuated->zones()) {
-      message.evacuated->zones.push_back(zone->str());
+    // The rest of the message is of use in any case.
+    if (evacuated->zones()->size() <= kMaxEvacuatedZones) {
+      message.evacuated = EvacuatedZones{ evacuated->revision(), {} };
+      for (const auto* zone : *evacuated->zones()) {
+        message.evacuated->zones.push_back(zone->str());
+      }
     }
   }
   if (gossip.contacts() != nullptr) {
