--- a/src/baobab/node/route_table_test.cpp
+++ b/src/baobab/node/route_table_test.cpp
@@ -291,7 +291,7 @@
                 .target == nullptr));
   for (std::uint64_t fingerprint = 0; fingerprint < 20; ++fingerprint) {
     const auto isolated =
-      ChooseIsolated(*table->FindService("quoting"), fingerprint);
+      ChooseIsolated(*table->FindService("quoting"), fingerprint, {});
     BOOST_TEST((isolated.target == chosen.target));
   }
   builder.SetEvacuatedZones({ "north", "south" });
