Tests of hostile callers run one at a time; quota agent: shorter idle period

Cause: the tests of hostile callers measure memory and ran beside others; the idle period of one second delayed the first loans after a restart of all. Change: RUN_SERIAL; 250 ms.

--- a/cmake/baobab_integration.cmake
+++ b/cmake/baobab_integration.cmake
@@ -10,3 +10,11 @@
       ENVIRONMENT BUILD=${CMAKE_BINARY_DIR} TIMEOUT 300)
   endforeach()
 endif()
+
+# Tests that measure memory run apart from other load.
+foreach(path ${integration_tests})
+  get_filename_component(name ${path} NAME_WE)
+  if(name MATCHES "^hostile_" AND NOT BAOBAB_SANITIZE)
+    set_tests_properties(integration_${name} PROPERTIES RUN_SERIAL ON)
+  endif()
+endforeach()
--- a/src/baobab/node/quota_agent.cpp
+++ b/src/baobab/node/quota_agent.cpp
@@ -17,7 +17,7 @@
 constexpr Duration kTimerPeriod = 50ms;
 
 /// Period while no workspace has a limit.
-constexpr Duration kIdlePeriod = 1s;
+constexpr Duration kIdlePeriod = 250ms;
 
 /// Time between two lines about the refusals of one workspace.
 constexpr Duration kLinePeriod = 10s;
