--- a/include/baobab/decision/tier_choice.hpp
+++ b/include/baobab/decision/tier_choice.hpp
@@ -36,9 +36,11 @@
 
 /// Chooses the tier in which a call is placed. A call stays in the nearest tier
 /// as long as it is answered there within its objective, and leaves it for the
-/// nearest one that has room and meets the objective. A call that can meet its
-/// objective nowhere stays, unless only another tier meets its deadline: moving
-/// it costs bytes and takes room from calls that could be in time.
+/// nearest one that has room and meets the objective, both with the margin; if
+/// none does, the cheapest one that meets it without the margin is taken. A
+/// call that can meet its objective nowhere stays, unless only another tier
+/// meets its deadline: moving it costs bytes and takes room from calls that
+/// could be in time.
 /// @param aOffers at most one for each tier, the nearest first
 /// @return nothing if there is no offer
 std::optional<Tier> ChooseTier(std::span<const TierOffer> aOffers,
--- a/src/baobab/decision/tier_choice.cpp
+++ b/src/baobab/decision/tier_choice.cpp
@@ -13,6 +13,23 @@
                              aNearest.expectedTime + aNearest.penalty;
 }
 
+/// Returns the tier with the lowest cost of those that may be used and whose
+/// expected time is not longer.
+std::optional<Tier>
+CheapestWithin(std::span<const TierOffer> aOffers, Duration aTime)
+{
+  const auto usable = [&](const TierOffer& aOffer) {
+    return aOffer.expectedTime <= aTime &&
+           (aOffer.hasRoom || &aOffer == aOffers.data());
+  };
+  const auto cost = [&](const TierOffer& aOffer) {
+    return usable(aOffer) ? aOffer.expectedTime + aOffer.penalty
+                          : Duration::max();
+  };
+  const auto best = std::ranges::min_element(aOffers, {}, cost);
+  return usable(*best) ? std::optional(best->tier) : std::nullopt;
+}
+
 }
 
 std::optional<Tier>
@@ -39,7 +56,7 @@
   if (const auto safe = nearestWithin(aTerms.timeToObjective, aTerms.margin)) {
     return safe;
   }
-  if (const auto close = nearestWithin(aTerms.timeToObjective, 1)) {
+  if (const auto close = CheapestWithin(aOffers, aTerms.timeToObjective)) {
     return close;
   }
   return nearestWithin(aTerms.timeToDeadline, 1).value_or(nearest.tier);
--- a/src/baobab/decision/tier_choice_test.cpp
+++ b/src/baobab/decision/tier_choice_test.cpp
@@ -41,6 +41,14 @@
   BOOST_TEST((Choose(400ms, 290ms, 500ms, kTerms) == Tier::SameRegion));
 }
 
+/// Guards against calls that stay where they are just in time, although a wrong
+/// estimate makes them late, while another zone answers in half the time.
+BOOST_AUTO_TEST_CASE(of_several_tight_fits_the_cheapest_is_taken)
+{
+  BOOST_TEST((Choose(290ms, 210ms, 500ms, kTerms) == Tier::SameRegion));
+  BOOST_TEST((Choose(215ms, 210ms, 205ms, kTerms) == Tier::SameZone));
+}
+
 BOOST_AUTO_TEST_CASE(a_gain_below_the_price_of_the_bytes_is_left)
 {
   BOOST_TEST((Choose(205ms, 198ms, 198ms, kTerms) == Tier::SameZone));
