--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -360,7 +360,8 @@
       10,
       "factor",
       "Calls stay in their availability zone while their expected time there, "
-      "times this factor, meets their latency objective; 0: they go wherever "
+      "times this factor, meets their latency objective; below 1: they go "
+      "wherever "
       "they are expected to finish first, with the extra latencies above.")),
     DurationField<S>(
       "workspaces.revocation_ms",
--- a/src/baobab/node/route_table_test.cpp
+++ b/src/baobab/node/route_table_test.cpp
@@ -166,10 +166,11 @@
   const ServiceRoute& Route() const { return *this->table->serviceRoutes[0]; }
 
   /// Chooses for a call with an objective of 200 ms.
-  ChosenTarget Choose(const std::vector<Endpoint>& aTried = {})
+  ChosenTarget Choose(const std::vector<Endpoint>& aTried = {},
+                      double aMargin = 1.5)
   {
     ChoiceTerms terms{ 100ms, 600 };
-    terms.placement.objectiveMargin = 1.5;
+    terms.placement.objectiveMargin = aMargin;
     terms.timeToObjective = 200ms;
     terms.timeToDeadline = 1s;
     return ChooseTarget(Route(), aTried, terms, random, kNow);
@@ -193,6 +194,14 @@
   BOOST_TEST(far.leaves);
 }
 
+BOOST_FIXTURE_TEST_CASE(below_one_the_margin_is_off, ThreeTiers)
+{
+  // Fast enough here, and faster in the other zone.
+  Route().tiers[0][0]->load.ApplyReport({ 10, 1, 10 }, kNow);
+  BOOST_TEST((Choose({}, 1.2).tier == Tier::SameZone));
+  BOOST_TEST((Choose({}, 0.5).tier == Tier::SameRegion));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_full_window_keeps_calls_in_their_zone, ThreeTiers)
 {
   Fill(*Route().tiers[0][0]);
--- a/src/baobab/node/target_chooser.cpp
+++ b/src/baobab/node/target_chooser.cpp
@@ -69,7 +69,8 @@
         this->AddCandidates(tier, aTerms, candidates, targets);
       }
     }
-    const bool byObjective = aTerms.placement.objectiveMargin > 0;
+    // A smaller margin would keep calls that miss their objective.
+    const bool byObjective = aTerms.placement.objectiveMargin >= 1;
     if (byObjective) {
       this->RankTiers(aTerms, candidates, targets);
     }
@@ -113,11 +114,10 @@
       TierOffer& offer = offers[count - 1];
       offer.expectedTime = std::min(offer.expectedTime, time);
     }
-    const auto chosen =
-      ChooseTier(std::span(offers).first(count),
-                 { aTerms.timeToObjective,
-                   aTerms.timeToDeadline,
-                   std::max(1.0, aTerms.placement.objectiveMargin) });
+    const auto chosen = ChooseTier(std::span(offers).first(count),
+                                   { aTerms.timeToObjective,
+                                     aTerms.timeToDeadline,
+                                     aTerms.placement.objectiveMargin });
     for (std::size_t i = 0; i < aCandidates.size(); ++i) {
       const Tier tier = aTargets[i].tier;
       aTargets[i].leaves = tier != this->NearestTier();
@@ -138,7 +138,7 @@
   {
     const Tier tier = aTargets[aChosen].tier;
     const auto safeTime = std::chrono::duration_cast<Duration>(
-      aTerms.timeToObjective / std::max(1.0, aTerms.placement.objectiveMargin));
+      aTerms.timeToObjective / aTerms.placement.objectiveMargin);
     std::optional<Duration> best;
     for (std::size_t i = 0; i < aCandidates.size(); ++i) {
       const Tier other = aTargets[i].tier;
