--- a/src/baobab/decision/quota_test.cpp
+++ b/src/baobab/decision/quota_test.cpp
@@ -515,7 +515,8 @@
                            { UniformBelow(random, 2) == 0 ? 60.0 : 300, 20 });
             break;
           default:
-            fleet.SetLoad(0, 1050.0 * UniformBelow(random, 3));
+            fleet.SetLoad(
+              0, 1050.0 * static_cast<double>(UniformBelow(random, 3)));
             break;
         }
         fleet.Run(20 + static_cast<int>(UniformBelow(random, 400)));
