--- a/testing/integration/workspace_key_test.sh
+++ b/testing/integration/workspace_key_test.sh
@@ -2,7 +2,7 @@
 # The keys of workspaces stay in the daemon that receives them: they reach
 # neither targets nor other daemons, nor logs or metrics. Calls without a valid
 # key do not run.
-NET=127.20.63
+NET=127.20.88
 . "$(dirname "$0")/lib.sh"
 
 EXTRA_SETTINGS='call_share = 1.0'
