Config: logs and metrics tell from where, when and at which position

Cause: the record of the incident does not say which generation each daemon had in force, from whom, or which position of the store's history it held, and store_lost names only the first cause of an outage: a store that refused connections and then showed an older state was logged as refusing connections.

Change: configuration_adopted names its origin, the generation before, the position and for how long a newer one was known; configuration_state is logged every ten seconds; store_lost is logged again when its cause changes, at most once a second, and names both revisions; pull_failed is logged at level info. New metrics: baobab_config_store_reads_total, _failed_pulls_total, _adopted_total, _advertised_generation. No logic changes.

--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -260,9 +260,37 @@
   LogLevel::Info,
   LogDropPolicy::DropLast,
   "A new configuration is in effect.",
-  std::array{ LogField{ "generation",
-                        "generation of the configuration; it only increases" },
-              LogField{ "source", "store or peer" } }
+  std::array{
+    LogField{ "generation",
+              "generation of the configuration; it only increases" },
+    LogField{ "source", "store or peer" },
+    LogField{ "from", "address of the store or peer" },
+    LogField{ "previous", "generation that was in effect before" },
+    LogField{ "position",
+              "position in the store's history; empty from a peer" },
+    LogField{
+      "newer_known_ms",
+      "time since a peer advertised a newer generation; 0 if none did" } }
+};
+
+inline constexpr LogEvent kConfigurationState{
+  "configuration_state",
+  "config",
+  LogLevel::Info,
+  LogDropPolicy::DropFirst,
+  "What this daemon knows of the published configuration. Logged every ten "
+  "seconds.",
+  std::array{
+    LogField{ "generation", "generation of the configuration in effect" },
+    LogField{ "advertised", "highest generation that a peer advertised" },
+    LogField{ "reader", "true if this daemon watches the store for its zone" },
+    LogField{ "confirmed_ms",
+              "time since the store was asked and knew no newer generation; -1 "
+              "if that is not known" },
+    LogField{ "position",
+              "position in the store's history of that confirmation" },
+    LogField{ "failed_reads", "reads of the store that failed, in total" },
+    LogField{ "failed_pulls", "pulls from peers that failed, in total" } }
 };
 
 inline constexpr LogEvent kConfigurationRejected{
@@ -315,7 +343,10 @@
   "config",
   LogLevel::Warning,
   LogDropPolicy::DropLast,
-  "The object store does not respond; the known configuration stays in effect.",
+  "The object store does not respond, or shows an older state than before; the "
+  "known configuration stays in effect. Logged again when the cause changes, "
+  "at "
+  "most once a second.",
   std::array{ LogField{ "error", "cause" } }
 };
 
@@ -331,7 +362,7 @@
 inline constexpr LogEvent kPullFailed{
   "pull_failed",
   "config",
-  LogLevel::Debug,
+  LogLevel::Info,
   LogDropPolicy::DropFirst,
   "A peer did not provide its configuration; another peer is tried.",
   std::array{ LogField{ "peer", "address of the daemon" },
--- a/include/baobab/node/config_agent.hpp
+++ b/include/baobab/node/config_agent.hpp
@@ -8,6 +8,7 @@
 #include "baobab/decision/store_freshness.hpp"
 #include "baobab/net/config_source.hpp"
 #include "baobab/net/frame_connection.hpp"
+#include "baobab/node/config_log.hpp"
 #include "baobab/node/control_pacer.hpp"
 #include "baobab/node/route_publisher.hpp"
 
@@ -79,6 +80,8 @@
     return this->source->Calls() + this->auditCalls;
   }
 
+  void AddMetrics(MetricsPage& aPage) const { this->log.AddMetrics(aPage); }
+
   /// Called with the new generation once it is in force.
   std::function<void(std::uint64_t)> onAdopted;
 
@@ -91,10 +94,15 @@
   void HandleRead(const Result<std::optional<ConfigDelta>>& aRead,
                   const ConfigSource& aSource,
                   TimePoint aAskedAt);
-  void LogStoreState(const Result<std::optional<ConfigDelta>>& aRead);
+  void RecordRead(const Result<std::optional<ConfigDelta>>& aRead);
+  void LogState();
   void Pull(const Endpoint& aPeer);
   Result<ConfigDelta> Request(const Endpoint& aPeer, std::uint64_t aSince);
-  Result<Done> Adopt(const ConfigDelta& aDelta, std::string_view aSource);
+  Result<Done> AdoptFromStore(const ConfigDelta& aDelta,
+                              const ConfigSource& aSource);
+  Result<Done> AdoptFromPeer(const ConfigDelta& aDelta, const Endpoint& aPeer);
+  /// @param aOrigin where the delta comes from; its generations are filled in
+  Result<Done> Adopt(const ConfigDelta& aDelta, Adoption aOrigin);
 
   boost::asio::io_context& context;
   ConfigSourceFactory openSource;
@@ -111,8 +119,7 @@
   /// before the first time. Positions of gossip do not serve: their sender may
   /// have rejected a configuration before them.
   std::string provenPosition;
-  /// Set while the store does not answer.
-  std::optional<TimePoint> storeLostAt;
+  ConfigLog log;
   SplitMix random;
 };
 
--- a/src/baobab/net/log_events.cpp
+++ b/src/baobab/net/log_events.cpp
@@ -36,6 +36,7 @@
         kMemberState,
         kConfigurationAdopted,
         kConfigurationRejected,
+        kConfigurationState,
         kRetriesDenied,
         kStoreLost,
         kStoreRegained,
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -71,6 +71,9 @@
 {
   while (true) {
     boost::this_fiber::sleep_for(kAuditCheckPeriod);
+    if (this->log.StateDue(Now())) {
+      this->LogState();
+    }
     if (this->firstReadDone &&
         this->freshness.ShouldAsk(
           this->Generation(), this->membership.Size(), Now())) {
@@ -113,12 +116,12 @@
     changed = asked->Read(*current);
   }
   this->auditCalls += asked->Calls();
-  this->LogStoreState(changed);
+  this->RecordRead(changed);
   if (!Succeeded(changed)) {
     return std::nullopt;
   }
   if (Value(changed)) {
-    const auto adopted = this->Adopt(*Value(changed), "store");
+    const auto adopted = this->AdoptFromStore(*Value(changed), *asked);
     if (!Succeeded(adopted) &&
         Value(changed)->generation > this->Generation()) {
       return std::nullopt;
@@ -132,6 +135,7 @@
 void
 ConfigAgent::OnPeerGeneration(const Endpoint& aPeer, std::uint64_t aGeneration)
 {
+  this->log.OnAdvertised(aGeneration, this->Generation(), Now());
   if (this->pulls.TryStartPull(aGeneration, this->Generation(), Now())) {
     Spawn([this, aPeer] {
       this->Pull(aPeer);
@@ -217,29 +221,37 @@
                         const ConfigSource& aSource,
                         TimePoint aAskedAt)
 {
-  this->LogStoreState(aRead);
+  this->RecordRead(aRead);
   if (!Succeeded(aRead)) {
     return;
   }
   if (Value(aRead)) {
-    this->Adopt(*Value(aRead), "store");
+    this->AdoptFromStore(*Value(aRead), aSource);
   }
   // Also after a configuration that was rejected: asking again would not change
   // it.
   this->freshness.Confirm({ this->Generation(), aAskedAt, aSource.Position() });
 }
 
-/// Logs when the store stops answering and when it answers again.
 void
-ConfigAgent::LogStoreState(const Result<std::optional<ConfigDelta>>& aRead)
+ConfigAgent::RecordRead(const Result<std::optional<ConfigDelta>>& aRead)
+{
+  if (Succeeded(aRead)) {
+    this->log.OnStoreRead(Value(aRead).has_value(), Now());
+  } else {
+    this->log.OnStoreFailed(Failure(aRead), Now());
+  }
+}
+
+void
+ConfigAgent::LogState()
 {
-  if (!Succeeded(aRead) && !this->storeLostAt) {
-    this->storeLostAt = Now();
-    Log(kStoreLost, Failure(aRead));
-  } else if (Succeeded(aRead) && this->storeLostAt) {
-    Log(kStoreRegained, Now() - *this->storeLostAt);
-    this->storeLostAt.reset();
+  ConfigState state{ this->Generation(), this->IsReader(), {}, {} };
+  if (const auto confirmed = this->freshness.Current(state.generation, Now())) {
+    state.confirmedAge = confirmed->age;
+    state.position = confirmed->position;
   }
+  this->log.LogState(state, Now());
 }
 
 void
@@ -247,18 +259,20 @@
 {
   auto delta = this->Request(aPeer, this->Generation());
   if (!Succeeded(delta)) {
-    Log(kPullFailed, aPeer, Failure(delta));
+    this->log.OnPullFailed(aPeer, Failure(delta));
     return;
   }
-  const auto adopted = this->Adopt(Value(delta), "peer");
+  const auto adopted = this->AdoptFromPeer(Value(delta), aPeer);
   if (Succeeded(adopted) || Failure(adopted).kind != ErrorKind::MissingKey) {
     return;
   }
   // The delta does not fit the configuration in force: pull a full one.
   auto full = this->Request(aPeer, 0);
-  if (Succeeded(full)) {
-    this->Adopt(Value(full), "peer");
+  if (!Succeeded(full)) {
+    this->log.OnPullFailed(aPeer, Failure(full));
+    return;
   }
+  this->AdoptFromPeer(Value(full), aPeer);
 }
 
 Result<ConfigDelta>
@@ -290,22 +304,38 @@
 }
 
 Result<Done>
-ConfigAgent::Adopt(const ConfigDelta& aDelta, std::string_view aSource)
+ConfigAgent::AdoptFromStore(const ConfigDelta& aDelta,
+                            const ConfigSource& aSource)
+{
+  return this->Adopt(
+    aDelta, { 0, 0, "store", this->settings.store, aSource.Position() });
+}
+
+Result<Done>
+ConfigAgent::AdoptFromPeer(const ConfigDelta& aDelta, const Endpoint& aPeer)
+{
+  return this->Adopt(aDelta, { 0, 0, "peer", aPeer, "" });
+}
+
+Result<Done>
+ConfigAgent::Adopt(const ConfigDelta& aDelta, Adoption aOrigin)
 {
+  aOrigin.previous = this->Generation();
   auto next = this->publisher.CurrentConfiguration()->Apply(aDelta);
   if (!Succeeded(next)) {
     // Conflict: a newer configuration is already in force.
     const bool stale = Failure(next).kind == ErrorKind::Conflict;
     if (!stale) {
-      Log(kConfigurationRejected, aSource, Failure(next));
+      Log(kConfigurationRejected, aOrigin.source, Failure(next));
     }
     return Failure(next);
   }
   this->publisher.SetConfiguration(
     std::make_shared<const Configuration>(std::move(Value(next))));
-  Log(kConfigurationAdopted, this->Generation(), aSource);
+  aOrigin.generation = this->Generation();
+  this->log.OnAdopted(aOrigin, Now());
   if (this->onAdopted) {
-    this->onAdopted(this->Generation());
+    this->onAdopted(aOrigin.generation);
   }
   return Done{};
 }
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -506,6 +506,7 @@
         this->membership,
         this->callerConnections,
         this->timerDelays });
+    this->config.AddMetrics(page);
     AddMemoryMetrics(page, ProcessMemory());
     AddQuotaMetrics(page, this->quotas, this->quotaGate);
     this->routes.Read(
