--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -5,6 +5,7 @@
 #   BUILD  build directory
 #   WORK   directory for settings, records and logs
 #   NET    first three octets of the loopback addresses; 127.1.0 by default
+#   DAEMON program of the daemons; baobabd by default
 
 PIDS=()
 NET=${NET:-127.1.0}
@@ -88,7 +89,8 @@
 }
 
 start_daemon() { # N
-  launch "$WORK/daemon-$1.log" "$BUILD/baobabd" --settings "$WORK/host-$1.toml"
+  launch "$WORK/daemon-$1.log" "$BUILD/${DAEMON:-baobabd}" \
+    --settings "$WORK/host-$1.toml"
   DAEMON_PID[$1]=$LAUNCHED
 }
 
--- a/testing/integration/lib.sh
+++ b/testing/integration/lib.sh
@@ -14,6 +14,7 @@
   local code=$?
   set +e
   stop_all
+  [ -z "${KEEP:-}" ] || cp -r "$WORK" "$KEEP"
   if [ $code -ne 0 ]; then
     tail -n 30 "$WORK"/*.log "$WORK"/*.json 2>/dev/null
   fi
