Evacuations: a state after the store went back replaces a higher revision

What would be seen: after the platform's store came back from an older copy, a zone could neither be evacuated nor taken back on any daemon until the store's counter had passed the revision seen before.

Change: the state bears the era of its revision, also in gossip, as a new last field; daemons of earlier versions ignore it, and what they send counts as era 0.

Evidence: a_state_after_the_store_went_back_replaces_a_higher_revision fails with the order by revision alone put back (three checks), and passes now, as does evacuations_are_listed_after_the_store_went_back. Found by reading; it was not played with real processes.

--- a/include/baobab/decision/evacuation.hpp
+++ b/include/baobab/decision/evacuation.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace baobab {
@@ -16,16 +17,26 @@
 /// The availability zones that are evacuated at a revision of the store.
 struct EvacuatedZones
 {
-  /// Higher revisions are newer; 0: not known.
+  /// Higher revisions of an era are newer; 0: not known.
   std::int64_t revision = 0;
   /// Sorted.
   std::vector<std::string> zones;
+  /// Rises when the store has lost its latest revisions, which are then given
+  /// out again; a later era is newer whatever the revision.
+  std::int64_t era = 0;
+
+  /// True if this state is from a later point in the store's history.
+  bool IsNewerThan(const EvacuatedZones& aOther) const
+  {
+    return std::pair{ this->era, this->revision } >
+           std::pair{ aOther.era, aOther.revision };
+  }
 
   bool operator==(const EvacuatedZones&) const = default;
 };
 
 /// What this daemon knows of evacuations, from the store and from other
-/// daemons. The highest revision counts, in whatever order messages arrive.
+/// daemons. The newest state counts, in whatever order messages arrive.
 class Evacuations
 {
 public:
--- a/include/baobab/net/evacuation_source.hpp
+++ b/include/baobab/net/evacuation_source.hpp
@@ -17,8 +17,8 @@
 public:
   virtual ~EvacuationSource() = default;
 
-  /// Reads the evacuated zones. They may be seconds old, so the revision is one
-  /// that any other replaces.
+  /// Reads the evacuated zones. They may be seconds old, so era and revision
+  /// are such that any others replace them.
   virtual Result<EvacuatedZones> ReadCached() = 0;
 
   /// Waits for a change. The first call returns the current state at once.
--- a/src/baobab/decision/evacuation.cpp
+++ b/src/baobab/decision/evacuation.cpp
@@ -22,7 +22,7 @@
   if (changed) {
     this->spreadUntil = aNow + kSpreadTime;
   }
-  if (aZones.revision <= this->current.revision) {
+  if (!aZones.IsNewerThan(this->current)) {
     return false;
   }
   this->current = std::move(aZones);
--- a/src/baobab/decision/evacuation_test.cpp
+++ b/src/baobab/decision/evacuation_test.cpp
@@ -47,6 +47,19 @@
   }
 }
 
+/// A store that had come back from an older copy could neither evacuate a zone
+/// nor take one back, because its revisions were lower than those seen before.
+BOOST_AUTO_TEST_CASE(
+  a_state_after_the_store_went_back_replaces_a_higher_revision)
+{
+  Evacuations evacuations;
+  evacuations.Merge({ 205, { "north" }, 1 }, kNow);
+  BOOST_TEST(evacuations.Merge({ 117, {}, 2 }, kNow));
+  BOOST_TEST(!evacuations.Contains("north"));
+  BOOST_TEST(!evacuations.Merge({ 210, { "north" }, 1 }, kNow));
+  BOOST_TEST(evacuations.Merge({ 118, { "south" }, 2 }, kNow));
+}
+
 BOOST_AUTO_TEST_CASE(only_other_zones_are_a_change)
 {
   Evacuations evacuations;
--- a/src/baobab/node/evacuation_agent.cpp
+++ b/src/baobab/node/evacuation_agent.cpp
@@ -91,7 +91,7 @@
 EvacuationAgent::WatchStore()
 {
   const TimePoint began = Now();
-  const std::int64_t revision = this->evacuations.Current().revision;
+  const EvacuatedZones before = this->evacuations.Current();
   const auto read = this->source->Watch(kWatchTimeout);
   if (!Succeeded(read)) {
     this->Pause(kRetryInterval);
@@ -99,7 +99,7 @@
   }
   this->Merge(Value(read));
   if (Now() - began < kEarlyReturnPause &&
-      this->evacuations.Current().revision == revision) {
+      !this->evacuations.Current().IsNewerThan(before)) {
     this->Pause(kEarlyReturnPause);
   }
 }
--- a/src/baobab/wire/codec_test.cpp
+++ b/src/baobab/wire/codec_test.cpp
@@ -51,7 +51,7 @@
   message.updates = { message.sender, message.sender };
   message.suspicions = { { 1, 2, 0.5, true, 3s } };
   message.contacts = { { "perth", 20ms } };
-  message.evacuated = EvacuatedZones{ 41, { "north", "south" } };
+  message.evacuated = EvacuatedZones{ 41, { "north", "south" }, 3 };
   return message;
 }
 
--- a/src/baobab/wire/gossip_codec.cpp
+++ b/src/baobab/wire/gossip_codec.cpp
@@ -61,8 +61,8 @@
   flatbuffers::Offset<wire::fb::Evacuations> evacuated;
   if (aMessage.evacuated) {
     const auto zones = builder.CreateVectorOfStrings(aMessage.evacuated->zones);
-    evacuated =
-      wire::fb::CreateEvacuations(builder, aMessage.evacuated->revision, zones);
+    evacuated = wire::fb::CreateEvacuations(
+      builder, aMessage.evacuated->revision, zones, aMessage.evacuated->era);
   }
   const Endpoint subject = aMessage.subject.value_or(Endpoint{});
   const auto root =
@@ -153,7 +153,8 @@
   if (const auto* evacuated = gossip.evacuations()) {
     // The rest of the message is of use in any case.
     if (evacuated->zones()->size() <= kMaxEvacuatedZones) {
-      message.evacuated = EvacuatedZones{ evacuated->revision(), {} };
+      message.evacuated =
+        EvacuatedZones{ evacuated->revision(), {}, evacuated->era() };
       for (const auto* zone : *evacuated->zones()) {
         message.evacuated->zones.push_back(zone->str());
       }
