Config: a configuration that was rejected is not confirmed

What would be seen: a daemon that could not adopt a configuration confirmed the store's position behind it. Gossip handed the position on, and a daemon that could have adopted the configuration asked only for what came later.

Cause: ConfigAgent::HandleRead took a read for a confirmation whatever became of it, and the source went on behind what it had returned. Prove() had a guard of its own.

Change: one function for all reads; what is not in force is not confirmed, and the source reads everything the next time.

--- a/include/baobab/net/config_source.hpp
+++ b/include/baobab/net/config_source.hpp
@@ -43,6 +43,10 @@
   /// that Watch asks only for later changes. An invalid one is ignored.
   virtual void Resume(std::string_view aPosition) = 0;
 
+  /// Makes the next call read everything, because what the last one returned
+  /// did not come into force.
+  virtual void Rewind() = 0;
+
   /// Number of requests sent to the store so far.
   virtual std::uint64_t Calls() const = 0;
 };
--- a/include/baobab/net/manifest_source.hpp
+++ b/include/baobab/net/manifest_source.hpp
@@ -22,6 +22,7 @@
   {
     this->manifestVersion = aPosition;
   }
+  void Rewind() override { this->manifestVersion.clear(); }
   std::uint64_t Calls() const override { return this->store.Calls(); }
 
 private:
--- a/include/baobab/node/config_agent.hpp
+++ b/include/baobab/node/config_agent.hpp
@@ -88,11 +88,17 @@
 private:
   void WatchStore();
   void Audit();
-  /// Adopts what was read from a source and records that the store confirmed
-  /// it.
+  /// Asks for the changes since the source's position; reads everything if the
+  /// store no longer has them.
+  static Result<std::optional<ConfigDelta>> ReadChanges(
+    ConfigSource& aSource,
+    const Configuration& aCurrent);
+  /// Adopts what was read from a source. Returns true if all that is published
+  /// up to the source's position is in force, and records that the store
+  /// confirmed it; otherwise rewinds the source.
   /// @param aAskedAt time at which the store is known not to have answered yet
-  void HandleRead(const Result<std::optional<ConfigDelta>>& aRead,
-                  const ConfigSource& aSource,
+  bool HandleRead(const Result<std::optional<ConfigDelta>>& aRead,
+                  ConfigSource& aSource,
                   TimePoint aAskedAt);
   void RecordRead(const Result<std::optional<ConfigDelta>>& aRead);
   void LogState();
@@ -116,8 +122,8 @@
   bool firstReadDone = false;
   std::uint64_t auditCalls = 0;
   /// Position in the store's history up to which Prove() has adopted all; empty
-  /// before the first time. Positions of gossip do not serve: their sender may
-  /// have rejected a configuration before them.
+  /// before the first time. Positions of gossip do not serve: a daemon of an
+  /// earlier version may have rejected a configuration before them.
   std::string provenPosition;
   ConfigLog log;
   SplitMix random;
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -93,14 +93,21 @@
   if (const auto known = this->freshness.Current(this->Generation(), askedAt)) {
     audit->Resume(known->position);
   }
-  auto changed = audit->Watch(*current, kAuditWait);
-  if (!Succeeded(changed) && Failure(changed).kind == ErrorKind::NotFound) {
-    changed = audit->Read(*current);
-  }
+  const auto changed = ReadChanges(*audit, *current);
   this->auditCalls += audit->Calls();
   this->HandleRead(changed, *audit, askedAt);
 }
 
+Result<std::optional<ConfigDelta>>
+ConfigAgent::ReadChanges(ConfigSource& aSource, const Configuration& aCurrent)
+{
+  auto changed = aSource.Watch(aCurrent, kAuditWait);
+  if (!Succeeded(changed) && Failure(changed).kind == ErrorKind::NotFound) {
+    changed = aSource.Read(aCurrent);
+  }
+  return changed;
+}
+
 std::optional<LeaseProof>
 ConfigAgent::Prove()
 {
@@ -111,24 +118,12 @@
   if (!this->provenPosition.empty()) {
     asked->Resume(this->provenPosition);
   }
-  auto changed = asked->Watch(*current, kAuditWait);
-  if (!Succeeded(changed) && Failure(changed).kind == ErrorKind::NotFound) {
-    changed = asked->Read(*current);
-  }
+  const auto changed = ReadChanges(*asked, *current);
   this->auditCalls += asked->Calls();
-  this->RecordRead(changed);
-  if (!Succeeded(changed)) {
+  if (!this->HandleRead(changed, *asked, sentAt)) {
     return std::nullopt;
   }
-  if (Value(changed)) {
-    const auto adopted = this->AdoptFromStore(*Value(changed), *asked);
-    if (!Succeeded(adopted) &&
-        Value(changed)->generation > this->Generation()) {
-      return std::nullopt;
-    }
-  }
   this->provenPosition = asked->Position();
-  this->freshness.Confirm({ this->Generation(), sentAt, this->provenPosition });
   return LeaseProof{ this->Generation(), askedAt };
 }
 
@@ -202,35 +197,38 @@
   const TimePoint began = Now();
   const auto current = this->publisher.CurrentConfiguration();
   const auto changed = this->source->Watch(*current, kWatchTimeout);
-  const bool updated = Succeeded(changed) && Value(changed);
+  const bool read = Succeeded(changed) && Value(changed);
   // A watch that ends without a change has been answered after its wait.
   const bool waited =
-    Succeeded(changed) && !updated && Now() - began >= kWatchTimeout;
-  this->HandleRead(
+    Succeeded(changed) && !read && Now() - began >= kWatchTimeout;
+  const bool inForce = this->HandleRead(
     changed, *this->source, waited ? began + kWatchTimeout : began);
   // A watch that returns immediately must not cause a busy loop.
-  if (!updated && Now() - began < kRetryInterval) {
+  if (!(read && inForce) && Now() - began < kRetryInterval) {
     const double jitter = 0.5 + UniformFraction(this->random);
     boost::this_fiber::sleep_for(
       std::chrono::duration_cast<Duration>(kRetryInterval * jitter));
   }
 }
 
-void
+bool
 ConfigAgent::HandleRead(const Result<std::optional<ConfigDelta>>& aRead,
-                        const ConfigSource& aSource,
+                        ConfigSource& aSource,
                         TimePoint aAskedAt)
 {
   this->RecordRead(aRead);
   if (!Succeeded(aRead)) {
-    return;
+    return false;
   }
   if (Value(aRead)) {
-    this->AdoptFromStore(*Value(aRead), aSource);
+    const auto adopted = this->AdoptFromStore(*Value(aRead), aSource);
+    if (!Succeeded(adopted) && Value(aRead)->generation > this->Generation()) {
+      aSource.Rewind();
+      return false;
+    }
   }
-  // Also after a configuration that was rejected: asking again would not change
-  // it.
   this->freshness.Confirm({ this->Generation(), aAskedAt, aSource.Position() });
+  return true;
 }
 
 void
