Config: a newer version counts in an older state too, and without an era

What callers saw: with a store that does not name its era, or no longer, the fault of the store that comes back from a copy stayed, and a daemon that had seen an era refused a store without one for ever.

Cause: whether a state may be adopted was decided by its position. The position can only tell whether the state confirms that there is nothing newer.

Change: a document with a version above the one in force is adopted whatever the position; an older state confirms nothing.

Two places of that test are stricter: the store now turns the daemons away from its start in the third step.

--- a/include/baobab/net/config_source.hpp
+++ b/include/baobab/net/config_source.hpp
@@ -14,9 +14,9 @@
 
 /// Source of published configurations. Used by one fiber at a time. Read and
 /// Watch fail with StoreUnavailable, also if the store shows an older state
-/// than before; with BadMessage if the published manifest is invalid; and with
-/// NotFound if a service file that it names, or the history since the position,
-/// is missing.
+/// than before that has no newer configuration; with BadMessage if the
+/// published manifest is invalid; and with NotFound if a service file that it
+/// names, or the history since the position, is missing.
 class ConfigSource
 {
 public:
@@ -36,7 +36,8 @@
     Duration aTime) = 0;
 
   /// Position in the store's history up to which the last successful call has
-  /// seen changes; empty before it.
+  /// seen changes; empty before it, and if the store's state was older than one
+  /// seen before.
   virtual std::string Position() const = 0;
 
   /// Continues from a position that a source of the same store returned, so
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -227,6 +227,9 @@
       return false;
     }
   }
+  if (aSource.Position().empty()) {
+    return false;
+  }
   this->freshness.Confirm({ this->Generation(), aAskedAt, aSource.Position() });
   return true;
 }
--- a/testing/integration/platform_store.py
+++ b/testing/integration/platform_store.py
@@ -1,14 +1,17 @@
 """Stand-in for the managed platform's object store, one process.
 
-    platform_store.py ADDRESS JOURNAL [--lose WRITES]
+    platform_store.py ADDRESS JOURNAL [--lose WRITES] [--no-era]
+                      [--operator-only]
 
 Every write is appended to JOURNAL before it is acknowledged, so that the next
 process continues where this one ended. With --lose the last WRITES writes are
 dropped first, as if the store came back from an older copy: revisions go back
-and are given out again, and the header Store-Era rises by one.
+and are given out again, and the header Store-Era rises by one. With --no-era the
+header is left out.
 
 POST /faults takes {"mode": "none" | "busy" | "reset" | "silent"}, and
-{"operator_only": true} to serve only requests with the header X-Operator.
+{"operator_only": true} to serve only requests with the header X-Operator, as
+--operator-only does from the start.
 POST /compact drops the history. GET /stats returns the revision and the era.
 """
 import argparse
@@ -53,8 +56,9 @@
 
 
 class Store:
-    def __init__(self, journal):
+    def __init__(self, journal, names_era=True, operator_only=False):
         self.journal = journal
+        self.names_era = names_era
         self.revision = FIRST_REVISION
         self.era = 1
         self.objects = {}
@@ -62,7 +66,7 @@
         # Revision up to which the history is gone.
         self.compacted = FIRST_REVISION
         self.mode = "none"
-        self.operator_only = False
+        self.operator_only = operator_only
         self.changed = asyncio.Condition()
         for entry in journal.read():
             if "era" in entry:
@@ -218,11 +222,12 @@
 
     def send(self, writer, status, value):
         body = json.dumps(value).encode()
+        era = ("Store-Era: %d\r\n" % self.store.era
+               if self.store.names_era else "")
         writer.write((
             "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-            "Store-Era: %d\r\nContent-Length: %d\r\n\r\n" %
-            (status, REASONS[status], self.store.era, len(body))
-        ).encode() + body)
+            "%sContent-Length: %d\r\n\r\n" %
+            (status, REASONS[status], era, len(body))).encode() + body)
 
 
 async def main():
@@ -230,11 +235,13 @@
     parser.add_argument("address")
     parser.add_argument("journal")
     parser.add_argument("--lose", type=int, default=0)
+    parser.add_argument("--no-era", action="store_true")
+    parser.add_argument("--operator-only", action="store_true")
     arguments = parser.parse_args()
     journal = Journal(arguments.journal)
     if arguments.lose:
         journal.drop_last_writes(arguments.lose)
-    store = Store(journal)
+    store = Store(journal, not arguments.no_era, arguments.operator_only)
     if arguments.lose:
         store.begin_era()
     host, port = arguments.address.split(":")
--- a/testing/integration/store_from_copy_test.sh
+++ b/testing/integration/store_from_copy_test.sh
@@ -14,7 +14,7 @@
 # for 3 s, and 5 s are allowed for what it missed.
 IN_FORCE=8
 
-# Time in which every daemon has asked the store again.
+# Time in which the confirmations of all daemons are later than the last write.
 ASKED=3
 
 # Requires that all daemons serve a version's route and not the one before the
@@ -56,8 +56,7 @@
 write_notes 100
 sleep $ASKED
 kill_now "$STORE_PID"
-start_platform_store --lose 90
-set_store_faults '{"operator_only": true}'
+start_platform_store --lose 90 --operator-only
 publish_version 8
 write_notes 150
 set_store_faults '{"operator_only": false}'
@@ -68,3 +67,12 @@
 start_platform_store
 publish_version 9
 require_version 9
+
+# A store that does not name its era. What it shows may be old, but a newer
+# version in it counts.
+write_notes 100
+sleep $ASKED
+kill_now "$STORE_PID"
+start_platform_store --no-era --lose 90
+publish_version 10
+require_version 10
