Freshness: the confirmation of an older generation counts for nothing

What would be seen: with the readers away, a change up to a second later than meant, after a daemon had been paused.

Cause: a daemon that was paused, or whose host was suspended, tells the age of what it knew before as if the pause had not been, and the latest question counted whatever generation it spoke of.

Change: the highest generation counts first.

Evidence: an_older_generation_confirms_nothing_however_late failed before, passes now.

--- a/include/baobab/decision/store_freshness.hpp
+++ b/include/baobab/decision/store_freshness.hpp
@@ -55,7 +55,9 @@
   {
   }
 
-  /// Records a confirmation. The one with the latest question counts.
+  /// Records a confirmation. The one of the highest generation counts, and of
+  /// those the one with the latest question: a daemon that was paused tells too
+  /// low an age, and may not know of the newest generation.
   void Confirm(StoreConfirmation aConfirmation);
 
   /// Merges what a peer says.
--- a/src/baobab/decision/store_freshness.cpp
+++ b/src/baobab/decision/store_freshness.cpp
@@ -15,7 +15,9 @@
 void
 StoreFreshness::Confirm(StoreConfirmation aConfirmation)
 {
-  if (!this->latest || aConfirmation.askedAt > this->latest->askedAt) {
+  if (!this->latest || aConfirmation.generation > this->latest->generation ||
+      (aConfirmation.generation == this->latest->generation &&
+       aConfirmation.askedAt > this->latest->askedAt)) {
     this->latest = std::move(aConfirmation);
   }
 }
--- a/src/baobab/decision/store_freshness_test.cpp
+++ b/src/baobab/decision/store_freshness_test.cpp
@@ -63,6 +63,16 @@
     (freshness.Current(5, kStart) == ConfirmationAge{ 100ms, "late" }));
 }
 
+/// A daemon that had been paused passed on, as new, what it knew before.
+BOOST_AUTO_TEST_CASE(an_older_generation_confirms_nothing_however_late)
+{
+  StoreFreshness freshness(1);
+  freshness.Confirm(Confirmed(6, kStart));
+  freshness.Merge(5, { 0ms, "paused" }, kStart + 900ms);
+  BOOST_TEST(
+    (freshness.Current(6, kStart + 900ms) == ConfirmationAge{ 900ms, "p6" }));
+}
+
 BOOST_AUTO_TEST_CASE(fresh_confirmation_keeps_a_daemon_from_asking)
 {
   StoreFreshness freshness(1);
