Config: a reader whose history is gone reads everything at once

What would be seen: after the store dropped its history or came back from a copy, the readers of all zones waited 250 to 750 ms before they read again.

Cause: WatchStore treated it like a store that does not answer; audits did not.

Change: both use ReadChanges().

--- a/include/baobab/node/config_agent.hpp
+++ b/include/baobab/node/config_agent.hpp
@@ -88,11 +88,12 @@
 private:
   void WatchStore();
   void Audit();
-  /// Asks for the changes since the source's position; reads everything if the
-  /// store no longer has them.
+  /// Waits for changes since the source's position; reads everything at once if
+  /// the store no longer has them.
   static Result<std::optional<ConfigDelta>> ReadChanges(
     ConfigSource& aSource,
-    const Configuration& aCurrent);
+    const Configuration& aCurrent,
+    Duration aTime);
   /// Adopts what was read from a source. Returns true if all that is published
   /// up to the source's position is in force, and records that the store
   /// confirmed it; otherwise rewinds the source.
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -93,15 +93,17 @@
   if (const auto known = this->freshness.Current(this->Generation(), askedAt)) {
     audit->Resume(known->position);
   }
-  const auto changed = ReadChanges(*audit, *current);
+  const auto changed = ReadChanges(*audit, *current, kAuditWait);
   this->auditCalls += audit->Calls();
   this->HandleRead(changed, *audit, askedAt);
 }
 
 Result<std::optional<ConfigDelta>>
-ConfigAgent::ReadChanges(ConfigSource& aSource, const Configuration& aCurrent)
+ConfigAgent::ReadChanges(ConfigSource& aSource,
+                         const Configuration& aCurrent,
+                         Duration aTime)
 {
-  auto changed = aSource.Watch(aCurrent, kAuditWait);
+  auto changed = aSource.Watch(aCurrent, aTime);
   if (!Succeeded(changed) && Failure(changed).kind == ErrorKind::NotFound) {
     changed = aSource.Read(aCurrent);
   }
@@ -118,7 +120,7 @@
   if (!this->provenPosition.empty()) {
     asked->Resume(this->provenPosition);
   }
-  const auto changed = ReadChanges(*asked, *current);
+  const auto changed = ReadChanges(*asked, *current, kAuditWait);
   this->auditCalls += asked->Calls();
   if (!this->HandleRead(changed, *asked, sentAt)) {
     return std::nullopt;
@@ -196,7 +198,7 @@
 {
   const TimePoint began = Now();
   const auto current = this->publisher.CurrentConfiguration();
-  const auto changed = this->source->Watch(*current, kWatchTimeout);
+  const auto changed = ReadChanges(*this->source, *current, kWatchTimeout);
   const bool read = Succeeded(changed) && Value(changed);
   // A watch that ends without a change has been answered after its wait.
   const bool waited =
