Pulls: peers that hang do not keep a daemon from asking others

What would be seen: a change up to 2 s late at a daemon whose first three peers had stopped right after they told of it.

Evidence: pulls_that_hang_do_not_keep_others_from_starting failed (3 starts in 2 s), passes now. Found by the review, by reading; not shown with real processes.

--- a/include/baobab/decision/pull_plan.hpp
+++ b/include/baobab/decision/pull_plan.hpp
@@ -5,12 +5,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace baobab {
 
 /// Decides when to pull the configuration from a peer that has a newer one. If
 /// a pull takes long, another peer is asked as well, because the first one may
-/// be unreachable or busy with many other pulls.
+/// be unreachable or busy with many other pulls. A pull that hangs does not keep
+/// others from being started.
 class PullPlan
 {
 public:
@@ -27,7 +29,8 @@
 
 private:
   std::size_t running = 0;
-  TimePoint startedAt;
+  /// Times of the latest starts, the last one at the end.
+  std::vector<TimePoint> startedAt;
 };
 
 }
--- a/src/baobab/decision/pull_plan_test.cpp
+++ b/src/baobab/decision/pull_plan_test.cpp
@@ -33,6 +33,19 @@
   BOOST_TEST(plan.TryStartPull(5, 4, kNow + 900ms));
 }
 
+/// Three peers that had stopped after they told of a change kept a daemon from
+/// asking others until the pulls had timed out.
+BOOST_AUTO_TEST_CASE(pulls_that_hang_do_not_keep_others_from_starting)
+{
+  PullPlan plan;
+  int started = 0;
+  for (TimePoint now = kNow; now < kNow + 2s; now += 50ms) {
+    started += plan.TryStartPull(5, 4, now) ? 1 : 0;
+  }
+  BOOST_TEST(started > 3);
+  BOOST_TEST(started <= 6);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
