--- a/include/baobab/decision/evacuation.hpp
+++ b/include/baobab/decision/evacuation.hpp
@@ -22,7 +22,7 @@
   /// Sorted.
   std::vector<std::string> zones;
   /// Rises when the store has lost its latest revisions, which are then given
-  /// out again; a later era is newer whatever the revision.
+  /// out again; a later era is newer whatever the revision. 0: not known.
   std::int64_t era = 0;
 
   /// True if this state is from a later point in the store's history.
--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -343,10 +343,9 @@
   "config",
   LogLevel::Warning,
   LogDropPolicy::DropLast,
-  "The object store does not respond, or shows an older state than before; the "
-  "known configuration stays in effect. Logged again when the cause changes, "
-  "at "
-  "most once a second.",
+  "The object store does not respond, or shows an older state than before or a "
+  "configuration that cannot be read; the known one stays in effect. Logged "
+  "again when the cause changes, at most once a second.",
   std::array{ LogField{ "error", "cause" } }
 };
 
--- a/include/baobab/node/config_log.hpp
+++ b/include/baobab/node/config_log.hpp
@@ -47,7 +47,7 @@
   void OnStoreRead(bool aChanged, TimePoint aNow);
 
   /// Records a read of the store that failed. Logged when it is the first, and
-  /// when the cause has changed, at most once a second.
+  /// when the cause has changed, both at most once a second.
   void OnStoreFailed(const Error& aError, TimePoint aNow);
 
   /// Records a generation that a peer advertises.
@@ -67,15 +67,11 @@
   void AddMetrics(MetricsPage& aPage) const;
 
 private:
-  struct StoreFailure
-  {
-    TimePoint since;
-    TimePoint loggedAt;
-    std::string message;
-  };
-
-  /// Set while the store does not answer.
-  std::optional<StoreFailure> failure;
+  /// Set while the reads of the store fail.
+  std::optional<TimePoint> failingSince;
+  /// Cause that was logged since then; empty if none was.
+  std::string loggedFailure;
+  std::optional<TimePoint> failureLoggedAt;
   /// Time at which the first generation newer than the one in force was
   /// advertised.
   std::optional<TimePoint> newerSince;
--- a/src/baobab/node/config_log.cpp
+++ b/src/baobab/node/config_log.cpp
@@ -17,25 +17,27 @@
 ConfigLog::OnStoreRead(bool aChanged, TimePoint aNow)
 {
   ++(aChanged ? this->changedReads : this->unchangedReads);
-  if (this->failure) {
-    Log(kStoreRegained, aNow - this->failure->since);
-    this->failure.reset();
+  if (this->failingSince && !this->loggedFailure.empty()) {
+    Log(kStoreRegained, aNow - *this->failingSince);
   }
+  this->failingSince.reset();
+  this->loggedFailure.clear();
 }
 
 void
 ConfigLog::OnStoreFailed(const Error& aError, TimePoint aNow)
 {
   ++this->failedReads;
-  if (!this->failure) {
-    this->failure = StoreFailure{ aNow, aNow, aError.message };
-  } else if (aError.message != this->failure->message &&
-             aNow - this->failure->loggedAt >= kMinFailureInterval) {
-    this->failure->loggedAt = aNow;
-    this->failure->message = aError.message;
-  } else {
+  if (!this->failingSince) {
+    this->failingSince = aNow;
+  }
+  if (aError.message == this->loggedFailure ||
+      (this->failureLoggedAt &&
+       aNow - *this->failureLoggedAt < kMinFailureInterval)) {
     return;
   }
+  this->failureLoggedAt = aNow;
+  this->loggedFailure = aError.message;
   Log(kStoreLost, aError);
 }
 
