Quarantine: suspicions that the store has lost are stored again

What callers would see: after the platform's store had come back from an older copy and the whole fleet had restarted, a request that was known to crash targets was tried on targets again.

Cause: daemons marked a confirmed suspicion as stored and never looked again.

When the newest position known, own or from gossip, belongs to a later one, ConfigAgent reports it and the suspicions count as unstored: the daemon beside the crashed target stores them at once, otherwise the keeper. No call to the store is added. On baobab's own store the history is not known, so nothing changes there.

--- a/include/baobab/decision/quarantine.hpp
+++ b/include/baobab/decision/quarantine.hpp
@@ -89,6 +89,9 @@
   /// Marks suspicions as contained in the object store.
   void MarkStored(std::span<const Suspicion> aSuspicions);
 
+  /// Takes no suspicion for contained in the object store any more.
+  void MarkAllUnstored();
+
   /// Requests that are suspects now.
   std::vector<Suspect> Suspects(TimePoint aNow) const;
 
--- a/include/baobab/net/config_source.hpp
+++ b/include/baobab/net/config_source.hpp
@@ -39,6 +39,13 @@
   /// seen changes; empty before it.
   virtual std::string Position() const = 0;
 
+  /// Returns the history that a position belongs to. A higher one than before:
+  /// the store has lost writes that it had acknowledged. 0: not known.
+  virtual std::uint64_t HistoryOf(std::string_view /*aPosition*/) const
+  {
+    return 0;
+  }
+
   /// Continues from a position that a source of the same store returned, so
   /// that Watch asks only for later changes. An invalid one is ignored.
   virtual void Resume(std::string_view aPosition) = 0;
--- a/include/baobab/node/config_agent.hpp
+++ b/include/baobab/node/config_agent.hpp
@@ -85,8 +85,13 @@
   /// Called with the new generation once it is in force.
   std::function<void(std::uint64_t)> onAdopted;
 
+  /// Called when the store has lost writes that it had acknowledged.
+  std::function<void()> onStoreLoss;
+
 private:
   void WatchStore();
+  /// Compares the newest position known with the history seen before.
+  void CheckHistory();
   void Audit();
   /// Asks for the changes since the source's position; reads everything if the
   /// store no longer has them.
@@ -125,6 +130,8 @@
   /// before the first time. Positions of gossip do not serve: a daemon of an
   /// earlier version may have rejected a configuration before them.
   std::string provenPosition;
+  /// History of the store, see ConfigSource; 0 until it is known.
+  std::uint64_t history = 0;
   ConfigLog log;
   SplitMix random;
 };
--- a/include/baobab/node/quarantine_agent.hpp
+++ b/include/baobab/node/quarantine_agent.hpp
@@ -28,6 +28,10 @@
   /// Reports that the suspicions may have changed.
   void OnSuspicions() { this->changed.Notify(); }
 
+  /// Stores the confirmed suspicions again, because the store has lost writes
+  /// that it had acknowledged.
+  void OnStoreLoss();
+
   std::uint64_t StoreCalls() const { return this->store->Calls(); }
 
   /// Called after suspicions were read, which may change routing.
--- a/src/baobab/decision/quarantine.cpp
+++ b/src/baobab/decision/quarantine.cpp
@@ -280,6 +280,16 @@
   }
 }
 
+void
+Quarantine::MarkAllUnstored()
+{
+  for (auto& [fingerprint, entries] : this->entries) {
+    for (auto& [crash, entry] : entries) {
+      entry.stored = false;
+    }
+  }
+}
+
 std::vector<Suspect>
 Quarantine::Suspects(TimePoint aNow) const
 {
--- a/src/baobab/decision/quarantine_test.cpp
+++ b/src/baobab/decision/quarantine_test.cpp
@@ -173,6 +173,23 @@
   }));
 }
 
+/// After the store had come back from an older copy, suspicions that it no
+/// longer had were never stored again, and a restart of the fleet forgot them.
+BOOST_AUTO_TEST_CASE(a_loss_of_the_store_makes_suspicions_unstored)
+{
+  Quarantine quarantine;
+  quarantine.RecordCrash(1, std::vector<Fingerprint>{ kCrashing }, 600s, kNow);
+  quarantine.Merge({ kCrashing + 1, 2, 1, false, 600s }, kNow);
+  quarantine.MarkStored(quarantine.Confirmed(kNow));
+  BOOST_TEST(!quarantine.HasUnstored(kNow));
+  quarantine.MarkAllUnstored();
+  BOOST_TEST(quarantine.HasUnstored(kNow));
+  BOOST_TEST(quarantine.HasUnstoredOfThisHost(kNow));
+  BOOST_TEST(quarantine.Confirmed(kNow).size() == 2U);
+  quarantine.MarkStored(quarantine.Confirmed(kNow));
+  BOOST_TEST(!quarantine.HasUnstored(kNow));
+}
+
 BOOST_AUTO_TEST_CASE(repeating_a_suspicion_does_not_extend_it)
 {
   Quarantine quarantine;
--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -74,6 +74,7 @@
     if (this->log.StateDue(Now())) {
       this->LogState();
     }
+    this->CheckHistory();
     if (this->firstReadDone &&
         this->freshness.ShouldAsk(
           this->Generation(), this->membership.Size(), Now())) {
@@ -82,6 +83,22 @@
   }
 }
 
+void
+ConfigAgent::CheckHistory()
+{
+  const auto known = this->freshness.Current(this->Generation(), Now());
+  const std::uint64_t next =
+    known ? this->source->HistoryOf(known->position) : 0;
+  if (next <= this->history) {
+    return;
+  }
+  const bool lost = this->history != 0;
+  this->history = next;
+  if (lost && this->onStoreLoss) {
+    this->onStoreLoss();
+  }
+}
+
 /// Asks the store for changes since the last position known, on a connection of
 /// its own, as an open one may have gone silent.
 void
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -228,6 +228,7 @@
       this->membership.SetGeneration(aGeneration);
       this->gossip.Send(this->membership.PushUpdates());
     };
+    this->config.onStoreLoss = [this] { this->quarantineAgent.OnStoreLoss(); };
     this->gossip.onGeneration = [this](const Endpoint& aPeer,
                                        std::uint64_t aGeneration) {
       this->config.OnPeerGeneration(aPeer, aGeneration);
--- a/src/baobab/node/quarantine_agent.cpp
+++ b/src/baobab/node/quarantine_agent.cpp
@@ -65,6 +65,13 @@
   }
 }
 
+void
+QuarantineAgent::OnStoreLoss()
+{
+  this->quarantine.MarkAllUnstored();
+  this->changed.Notify();
+}
+
 /// True if this daemon is to store suspicions now: its own at once, others if
 /// it is the keeper and they were not stored for some time.
 bool
