Test: hostile_connections ends its crowd, and has other addresses

The crowd ran on if the test was stopped. 127.20.92 is used by another run of the soak. Crowd and bounds are as they were.

--- a/testing/integration/hostile_connections_test.sh
+++ b/testing/integration/hostile_connections_test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Callers open more connections than the process has descriptors and keep them.
 # The daemon keeps descriptors for its target, other daemons and the store.
-NET=127.20.92
+NET=127.20.96
 . "$(dirname "$0")/lib.sh"
 
 DESCRIPTORS=200
@@ -21,6 +21,7 @@
   "$NET.1:8000" "$NET.1:7200" "${DAEMON_PID[1]}" \
   $((DESCRIPTORS - RESERVED)) "$CROWD" "$WORK/opened" "$WORK/done" &
 CROWD_PID=$!
+PIDS+=("$CROWD_PID")
 until [ -e "$WORK/opened" ]; do
   kill -0 "$CROWD_PID" 2>/dev/null || fail "see above"
   sleep 0.05
