Connections: idle ones and slow heads make room for new ones

Callers saw: while others kept all connections, idle or with half a head, new connections were closed at once until time limits ended some. Cause: at its bound the server refused what came, whatever the open ones did. One with a request that has been read is never closed for that. Nothing changes below the bound.

--- a/include/baobab/net/http_server.hpp
+++ b/include/baobab/net/http_server.hpp
@@ -124,8 +124,11 @@
   void StopKeepAlive() { this->keepAliveStopped = true; }
   bool KeepAliveStopped() const { return this->keepAliveStopped; }
 
-  /// True if the server accepts no further connections.
-  bool Full() const { return this->openConnections >= this->maxConnections; }
+  /// True if a connection has to close before another one is accepted.
+  bool Full() const
+  {
+    return this->openConnections - this->givingWay >= this->maxConnections;
+  }
   std::size_t OpenConnections() const { return this->openConnections; }
   /// Number of requests in progress.
   std::size_t ActiveRequests() const { return this->activeRequests; }
@@ -133,6 +136,11 @@
   std::size_t openConnections = 0;
   /// Connections accepted since the start.
   std::uint64_t acceptedConnections = 0;
+  /// Connections that are being closed to make room.
+  std::size_t givingWay = 0;
+  /// Connections closed to make room, and not accepted because there was none.
+  std::uint64_t gaveWay = 0;
+  std::uint64_t refusedConnections = 0;
   std::size_t activeRequests = 0;
 
 private:
--- a/src/baobab/net/http_server.cpp
+++ b/src/baobab/net/http_server.cpp
@@ -23,6 +23,13 @@
 
 using Ticket = PipelineOrder::Ticket;
 
+/// Connections that may be closing at a time to make room. They are open beside
+/// the ones that may be.
+constexpr std::size_t kMaxGivingWay = 4;
+
+/// Time for the response to a caller whose connection gives way.
+constexpr Duration kGiveWayTime = 100ms;
+
 /// One connection. It is served on one fiber, which reads a request, handles it
 /// and writes the response. While a request runs that others may overlap, the
 /// next one is read on a further fiber as soon as there is something to read.
@@ -32,13 +39,25 @@
   Connection(Tcp::socket aSocket,
              const HttpLimits& aLimits,
              const HttpHandler& aHandler,
-             HttpServerState& aState)
+             HttpServerState& aState,
+             ClosingOrder<Connection>& aClosing)
     : channel(std::move(aSocket))
     , serverLimits(aLimits)
     , limits(aLimits)
     , handler(aHandler)
     , state(aState)
+    , closing(aClosing)
+    , place(aClosing.Add(this))
+  {
+  }
+
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  ~Connection()
   {
+    this->StopGivingWay();
+    this->closing.Remove(this->place, this->use);
   }
 
   /// Starts a fiber that reads the next request.
@@ -66,14 +85,51 @@
 
   TimePoint Deadline() const { return this->channel.Deadline(); }
 
+  /// True if nothing has come that was not read yet.
+  bool MayGiveWay()
+  {
+    return CheckInput(this->channel.Stream()) != Input::Data;
+  }
+
+  /// Closes the connection to make room, unless a request has come just now.
+  void GiveWay()
+  {
+    this->SetUse(ConnectionUse::Request);
+    this->givesWay = true;
+    ++this->state.givingWay;
+    ++this->state.gaveWay;
+    this->channel.ExpireRead();
+  }
+
 private:
+  void StopGivingWay()
+  {
+    if (std::exchange(this->givesWay, false)) {
+      --this->state.givingWay;
+    }
+  }
+
+  void SetUse(ConnectionUse aUse)
+  {
+    this->StopGivingWay();
+    this->closing.Move(this->place, this->use, aUse);
+    this->use = aUse;
+  }
+
+  /// Sets what the connection is used for while its next request is read.
+  void SetReadingUse(ConnectionUse aUse)
+  {
+    this->readingUse = aUse;
+    this->SetUse(this->order.Empty() ? aUse : ConnectionUse::Request);
+  }
+
   /// Reads and answers requests until another fiber reads or the connection
   /// ends.
   void Run()
   {
     while (this->ServeRequest() && this->TakeOverReading()) {
     }
-    if (this->order.Empty() && !this->order.Reading() &&
+    if (this->order.Empty() && !this->order.Reading() && !this->givesWay &&
         (this->refused || this->HasUnread())) {
       this->channel.Linger();
     }
@@ -113,6 +169,7 @@
       return true;
     }
     this->channel.SetReadDeadline(this->limits.idleTimeout);
+    this->SetReadingUse(ConnectionUse::Idle);
     this->idle = true;
     const IoResult result = this->channel.ReadSome(this->order.Empty());
     this->idle = false;
@@ -125,6 +182,7 @@
       this->order.EndRead();
       return false;
     }
+    this->SetReadingUse(ConnectionUse::Head);
     Parser parser;
     parser.header_limit(
       static_cast<std::uint32_t>(this->limits.maxHeaderBytes));
@@ -138,6 +196,7 @@
     if (!result) {
       return this->RejectRequest(result.error);
     }
+    this->SetReadingUse(ConnectionUse::Request);
     if (!this->PrepareBody(parser)) {
       return false;
     }
@@ -214,6 +273,9 @@
       this->Answer(ticket, std::move(aMessage), std::move(aHeld));
     --this->state.activeRequests;
     this->turns.Remove(ticket);
+    if (this->order.Empty() && this->order.Reading()) {
+      this->SetUse(this->readingUse);
+    }
     return answered;
   }
 
@@ -324,8 +386,8 @@
   {
     const auto message =
       ToMessage(std::move(aResponse), aMethod, aVersion, aKeepAlive);
-    return static_cast<bool>(
-      this->channel.Write(message, this->limits.bodyTimeout));
+    return static_cast<bool>(this->channel.Write(
+      message, this->givesWay ? kGiveWayTime : this->limits.bodyTimeout));
   }
 
   bool RejectRequest(const beast::error_code& aError)
@@ -344,6 +406,9 @@
   {
     constexpr unsigned kHttp11 = 11;
     this->channel.ClearReadDeadline();
+    if (!this->givesWay) {
+      this->SetUse(ConnectionUse::Request);
+    }
     const Ticket ticket = this->order.Admit({ false, true });
     if (this->turns.AwaitStart(ticket)) {
       this->refused = true;
@@ -367,10 +432,34 @@
   /// True while the connection is watched for input.
   bool watching = false;
   bool idle = false;
+  ClosingOrder<Connection>& closing;
+  ConnectionUse use = ConnectionUse::Request;
+  ConnectionUse readingUse = ConnectionUse::Request;
+  ClosingOrder<Connection>::Place place;
+  /// True while the connection is being closed to make room.
+  bool givesWay = false;
   /// True if the connection ends with an error response.
   bool refused = false;
 };
 
+/// Makes room for a new connection; returns false if there is none.
+bool
+MakeRoom(HttpServerState& aState, const ClosingOrder<Connection>& aClosing)
+{
+  while (aState.Full()) {
+    Connection* connection = aState.givingWay < kMaxGivingWay
+                               ? aClosing.First([](Connection& aConnection) {
+                                   return aConnection.MayGiveWay();
+                                 })
+                               : nullptr;
+    if (connection == nullptr) {
+      return false;
+    }
+    connection->GiveWay();
+  }
+  return true;
+}
+
 }
 
 void
@@ -383,7 +472,8 @@
   // Shared, because the checks may run a little longer than this function.
   Spawn([connections] { RunDeadlineChecks<Connection>(connections); });
   AcceptConnections(aAcceptor, [&](Tcp::socket aSocket) {
-    if (aState.Full()) {
+    if (!MakeRoom(aState, connections->closing)) {
+      ++aState.refusedConnections;
       return;
     }
     beast::error_code error;
@@ -394,7 +484,8 @@
     HeldMemory held(MemoryPart::Connections);
     held.Account(kConnectionBytes);
     const std::shared_ptr<Connection> connection(
-      new Connection(std::move(aSocket), aLimits, aHandler, aState),
+      new Connection(
+        std::move(aSocket), aLimits, aHandler, aState, connections->closing),
       [connections, &aState, held = std::move(held)](Connection* aClosed) {
         connections->open.erase(aClosed);
         --aState.openConnections;
--- a/src/baobab/net/http_server_test.cpp
+++ b/src/baobab/net/http_server_test.cpp
@@ -214,6 +214,121 @@
   });
 }
 
+/// Opens a further connection to the server of another one.
+Tcp::socket
+ConnectBeside(Tcp::socket& aCaller)
+{
+  auto& context =
+    static_cast<boost::asio::io_context&>(aCaller.get_executor().context());
+  const auto server = aCaller.remote_endpoint();
+  auto connected =
+    Connect(context, { server.address().to_v4().to_uint(), server.port() }, 1s);
+  BOOST_TEST(Succeeded(connected));
+  return std::move(Value(connected));
+}
+
+std::string
+ServedRequest()
+{
+  return "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+/// Sends a request and reads the start of its response.
+void
+BeServed(Tcp::socket& aCaller)
+{
+  SendText(aCaller, ServedRequest());
+  char bytes[4096];
+  const IoResult read = Await([&](auto aHandler) {
+    aCaller.async_read_some(boost::asio::buffer(bytes), aHandler);
+  });
+  BOOST_TEST(static_cast<bool>(read));
+  BOOST_TEST(std::string_view(bytes, read.bytes).starts_with("HTTP/1.1 200 "));
+}
+
+/// Sends the last request of a connection, and returns what comes back.
+std::string
+LastAnswer(Tcp::socket& aCaller)
+{
+  SendText(aCaller, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  return ReadAll(aCaller);
+}
+
+BOOST_AUTO_TEST_CASE(below_the_limit_no_connection_is_closed)
+{
+  TestServer server;
+  server.state = HttpServerState(2);
+  server.Run([&](Tcp::socket& aCaller) {
+    BeServed(aCaller);
+    Tcp::socket other = ConnectBeside(aCaller);
+    BeServed(other);
+    BeServed(aCaller);
+    BOOST_TEST(LastAnswer(other).starts_with("HTTP/1.1 200 "));
+    BeServed(aCaller);
+    BOOST_TEST(server.state.gaveWay == 0U);
+    BOOST_TEST(server.state.refusedConnections == 0U);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(the_longest_idle_connection_makes_room)
+{
+  TestServer server;
+  server.state = HttpServerState(2);
+  server.Run([&](Tcp::socket& aCaller) {
+    BeServed(aCaller);
+    Tcp::socket other = ConnectBeside(aCaller);
+    BeServed(other);
+    BeServed(aCaller);
+    Tcp::socket next = ConnectBeside(aCaller);
+    BeServed(next);
+    BOOST_TEST(ReadAll(other).empty());
+    BeServed(aCaller);
+    BOOST_TEST(server.state.gaveWay == 1U);
+    BOOST_TEST(server.state.givingWay == 0U);
+    BOOST_TEST(server.state.OpenConnections() == 2U);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_head_makes_room_and_is_answered)
+{
+  TestServer server;
+  server.state = HttpServerState(1);
+  server.Run([&](Tcp::socket& aCaller) {
+    SendText(aCaller, "GET / HT");
+    boost::this_fiber::sleep_for(20ms);
+    Tcp::socket next = ConnectBeside(aCaller);
+    BOOST_TEST(LastAnswer(next).starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(ReadAll(aCaller).starts_with("HTTP/1.1 400 "));
+    BOOST_TEST(server.state.givingWay == 0U);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_with_a_request_makes_no_room)
+{
+  TestServer server;
+  server.state = HttpServerState(1);
+  FiberEvent answer;
+  bool first = true;
+  server.handler.handleRequest = [&](Request&&, DisconnectNotifier&) {
+    BOOST_TEST((!std::exchange(first, false) || answer.WaitUntil(Now() + 5s)));
+    return TextResponse(200, "ok");
+  };
+  server.Run([&](Tcp::socket& aCaller) {
+    // Half of a next head doesn't make it one that may be closed.
+    SendText(aCaller, ServedRequest() + "GET / HT");
+    while (server.state.ActiveRequests() == 0) {
+      boost::this_fiber::sleep_for(1ms);
+    }
+    Tcp::socket next = ConnectBeside(aCaller);
+    BOOST_TEST(ReadAll(next).empty());
+    BOOST_TEST(server.state.refusedConnections == 1U);
+    answer.Notify();
+    SendText(aCaller, "TP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(ReadAll(aCaller).starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(server.state.gaveWay == 0U);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/src/baobab/net/open_connections.hpp
+++ b/src/baobab/net/open_connections.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "baobab/core/time.hpp"
+#include "baobab/decision/closing_order.hpp"
 #include "baobab/net/clock.hpp"
 
 #include <algorithm>
@@ -17,6 +18,7 @@
 struct OpenConnections
 {
   std::unordered_set<Connection*> open;
+  ClosingOrder<Connection> closing;
   /// True while connections are accepted.
   bool accepting = true;
 };
