Connections: callers leave descriptors for target, peers and store

Callers saw: with more connections than the process has descriptors, those of callers took all; the store was lost ("Too many open files"), the target was lost, new callers waited for seconds. Cause: caller_connections (10000) was not compared with RLIMIT_NOFILE. Change: callers may open what the target, other daemons, the store and files leave, at least half of the limit; caller_connections_lowered is logged at the start. Metrics: open, bound, closed for room, refused. The bound of the workers together is no longer exceeded by one each. Evidence: hostile_connections_test, 300 callers at 200 descriptors.

--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -26,6 +26,19 @@
               LogField{ "zone", "availability zone of the host" } }
 };
 
+inline constexpr LogEvent kCallerConnectionsLowered{
+  "caller_connections_lowered",
+  "daemon",
+  LogLevel::Warning,
+  LogDropPolicy::DropLast,
+  "Callers may open fewer connections than `caller_connections`, so that "
+  "descriptors are left for the target, other daemons, the store and files. "
+  "Raise the process's limit of open files, or lower the setting.",
+  std::array{ LogField{ "connections", "connections that callers may open" },
+              LogField{ "set", "connections that are set" },
+              LogField{ "descriptors", "limit of open files" } }
+};
+
 inline constexpr LogEvent kDraining{
   "draining",
   "daemon",
--- a/include/baobab/node/daemon_metrics.hpp
+++ b/include/baobab/node/daemon_metrics.hpp
@@ -4,6 +4,7 @@
 #include "baobab/core/load_report.hpp"
 #include "baobab/decision/membership.hpp"
 #include "baobab/decision/store_freshness.hpp"
+#include "baobab/node/caller_connection_counts.hpp"
 #include "baobab/node/gossip_agent.hpp"
 #include "baobab/node/metrics.hpp"
 #include "baobab/node/quota_agent.hpp"
@@ -29,7 +30,7 @@
   bool targetCold = false;
   std::size_t evacuatedZones = 0;
   const Membership& members;
-  std::uint64_t callerConnections = 0;
+  CallerConnectionCounts callerConnections;
   /// Delays of the control thread's timer beyond its due time.
   const LatencyHistogram& timerDelays;
 };
--- a/include/baobab/node/ingress_pool.hpp
+++ b/include/baobab/node/ingress_pool.hpp
@@ -6,6 +6,7 @@
 #include "baobab/core/settings.hpp"
 #include "baobab/net/http_server.hpp"
 #include "baobab/node/call_stats.hpp"
+#include "baobab/node/caller_connection_counts.hpp"
 #include "baobab/node/lease_cell.hpp"
 #include "baobab/node/quota_gate.hpp"
 #include "baobab/node/rcu_cell.hpp"
@@ -53,8 +54,8 @@
   /// Number of requests that are being answered.
   std::size_t ActiveRequests();
 
-  /// Number of connections accepted from callers since the start.
-  std::uint64_t AcceptedConnections();
+  /// Counts of the connections of callers.
+  CallerConnectionCounts Connections();
 
   /// Stops accepting connections, and closes the open ones after their current
   /// request.
@@ -71,6 +72,7 @@
   const LeaseCell& lease;
   const Settings& settings;
   HttpLimits limits;
+  std::int64_t maxConnections = 0;
   std::vector<std::unique_ptr<IngressWorker>> workers;
 };
 
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -213,7 +213,8 @@
       [](S& s) -> auto& { return s.callerConnections; },
       { 1, 1000000 },
       "connections",
-      "Maximum number of caller connections."),
+      "Maximum number of caller connections; fewer if the process may open too "
+      "few files."),
     IntegerField<S>(
       "header_bytes",
       [](S& s) -> auto& { return s.headerBytes; },
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -485,7 +485,7 @@
                  "reason=\"" + reason + "\"",
                  static_cast<double>(count));
       }
-      this->callerConnections = this->ingress.AcceptedConnections();
+      this->callerConnections = this->ingress.Connections();
     }
     page.AddTarget(this->calls.AdmissionControl().Service(),
                    this->calls.Stats());
@@ -584,7 +584,7 @@
   bool draining = false;
   bool workersStalled = false;
   /// Connections accepted from callers, as the workers last said.
-  std::uint64_t callerConnections = 0;
+  CallerConnectionCounts callerConnections;
 };
 
 }
--- a/src/baobab/node/daemon_metrics.cpp
+++ b/src/baobab/node/daemon_metrics.cpp
@@ -78,7 +78,12 @@
   add("target_slowness_percent", aStats.target.slowness);
   add("evacuated_zones", aStats.evacuatedZones);
   add("target_cold", aStats.targetCold ? 1 : 0);
-  add("caller_connections_total", aStats.callerConnections);
+  const CallerConnectionCounts& callers = aStats.callerConnections;
+  add("caller_connections", callers.open);
+  add("caller_connections_bound", callers.bound);
+  add("caller_connections_total", callers.accepted);
+  add("caller_connections_closed_for_room_total", callers.gaveWay);
+  add("caller_connections_refused_total", callers.refused);
   aPage.AddHistogram("timer_delay_seconds", "", aStats.timerDelays);
   add("suspects", aStats.suspects);
   add("process_cpu_seconds_total", CpuSeconds());
--- a/src/baobab/node/ingress_pool.cpp
+++ b/src/baobab/node/ingress_pool.cpp
@@ -3,6 +3,7 @@
 #include "baobab/core/random.hpp"
 #include "baobab/net/clock.hpp"
 #include "baobab/net/worker.hpp"
+#include "baobab/node/caller_limit.hpp"
 #include "baobab/node/ingress.hpp"
 #include "baobab/node/metrics.hpp"
 
@@ -39,16 +40,6 @@
            aSettings.timeouts.callerIdle };
 }
 
-/// Returns the number of connections that callers may open: as many as fit into
-/// half of the memory for messages.
-std::int64_t
-MaxCallerConnections(const Settings& aSettings)
-{
-  const auto bytes = static_cast<std::int64_t>(kConnectionBytes);
-  return std::min(aSettings.callerConnections,
-                  ProcessMemory().Bounds().total / 2 / bytes);
-}
-
 /// Calls a function on a worker's thread, and suspends the calling fiber until
 /// the result is available.
 template<class F>
@@ -94,8 +85,9 @@
 Result<Done>
 IngressPool::Open()
 {
+  this->maxConnections = MaxCallerConnections(this->settings);
   const auto connectionsPerWorker = static_cast<std::size_t>(
-    MaxCallerConnections(this->settings) / this->settings.workers + 1);
+    std::max<std::int64_t>(1, this->maxConnections / this->settings.workers));
   for (std::int64_t i = 0; i < this->settings.workers; ++i) {
     auto worker = std::make_unique<IngressWorker>(connectionsPerWorker);
     auto socket = Listen(worker->thread.Context(), this->settings.callers);
@@ -183,12 +175,26 @@
   });
 }
 
-std::uint64_t
-IngressPool::AcceptedConnections()
+CallerConnectionCounts
+IngressPool::Connections()
 {
-  return SumOver(this->workers, [](const IngressWorker& aWorker) {
-    return aWorker.serverState.acceptedConnections;
-  });
+  CallerConnectionCounts sum;
+  sum.bound = this->maxConnections;
+  for (const auto& worker : this->workers) {
+    const auto counts = RunOnWorker(*worker, [](const IngressWorker& aWorker) {
+      const HttpServerState& state = aWorker.serverState;
+      return CallerConnectionCounts{ 0,
+                                     state.OpenConnections(),
+                                     state.acceptedConnections,
+                                     state.gaveWay,
+                                     state.refusedConnections };
+    });
+    sum.open += counts.open;
+    sum.accepted += counts.accepted;
+    sum.gaveWay += counts.gaveWay;
+    sum.refused += counts.refused;
+  }
+  return sum;
 }
 
 void
