--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -142,28 +142,38 @@
 class Schedule:
     """Starts faults at times drawn from a seed. Faults may overlap."""
 
-    def __init__(self, fleet, seed, seconds, gap):
+    def __init__(self, fleet, seed, seconds, gap, faults=FAULTS,
+                 exclusive=EXCLUSIVE_FAULTS):
         self.fleet = fleet
+        self.exclusive = exclusive
         self.problems = []
         self.started = []
         rng = random.Random(seed)
         self.plan = []
         at = 0.0
         while at < seconds:
-            self.plan.append((at, rng.choice(FAULTS),
+            self.plan.append((at, rng.choice(faults),
                               rng.randrange(len(fleet.hosts)),
                               rng.uniform(0.2, 4), rng.random()))
-            at += rng.expovariate(1 / gap)
+            at += self.draw_gap(rng, gap)
         self.locks = {}
 
+    def draw_gap(self, rng, gap):
+        """Returns the time from one fault to the next."""
+        return rng.expovariate(1 / gap)
+
     def lock_for(self, fault, number):
-        for group, faults in EXCLUSIVE_FAULTS.items():
+        for group, faults in self.exclusive.items():
             if fault in faults:
                 any_host = group == "store" or fault is restart_in_turn
                 return self.locks.setdefault(
                     (group, None if any_host else number), threading.Lock())
         return threading.Lock()
 
+    def perform(self, fault, host, rng, seconds):
+        """Carries out a fault; returns a problem or None."""
+        return fault(self.fleet, host, rng, seconds)
+
     def run_fault(self, fault, number, seconds, seed):
         locks = [self.lock_for(fault, number)]
         if fault is restart_in_turn:
@@ -172,8 +182,8 @@
         for lock in locks:
             lock.acquire()
         try:
-            problem = fault(self.fleet, self.fleet.hosts[number],
-                            random.Random(seed), seconds)
+            problem = self.perform(fault, self.fleet.hosts[number],
+                                   random.Random(seed), seconds)
             if problem:
                 self.problems.append(problem)
         finally:
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -96,12 +96,14 @@
         self.target_starts = 0
         # Times at which the daemon was killed, which interrupts its callers.
         self.killed_at = []
+        # Address at which the daemon reaches the store.
+        self.store = fleet.store_for(self)
         self.write_settings(0.1)
         self.proxy = fleet.launch(
             f"proxy-{number}", "testing/fault_proxy", "--listen",
             f"{self.address}:7101", "--to", f"{self.address}:7100",
             "--control", f"{self.address}:7102")
-        self.daemon = fleet.launch(f"daemon-{number}", "baobabd",
+        self.daemon = fleet.launch(f"daemon-{number}", fleet.program,
                                    "--settings", str(self.settings))
         self.target = None
         self.start_target()
@@ -112,8 +114,9 @@
 
     def write_settings(self, ratio):
         region, zone = ZONES[self.number % len(ZONES)]
-        text = SETTINGS.format(address=self.address, store=self.fleet.store,
-                               region=region, zone=zone, ratio=ratio)
+        text = self.fleet.settings.format(
+            address=self.address, store=self.store,
+            region=region, zone=zone, ratio=ratio)
         temporary = self.settings.with_suffix(".new")
         temporary.write_text(text)
         temporary.rename(self.settings)
@@ -145,6 +148,10 @@
 class Fleet:
     """All processes of a run; their files are in one folder."""
 
+    # Program of the daemons, and the template of their settings.
+    program = "baobabd"
+    settings = SETTINGS
+
     def __init__(self, build, work, net, hosts):
         self.build = pathlib.Path(build)
         self.work = pathlib.Path(work)
@@ -152,9 +159,17 @@
         self.store = f"{net}.250:7000"
         self.processes = []
         self.revision = 0
-        self.launch("store", "testing/store_standin", "--listen", self.store)
+        self.store_process = self.launch_store()
         self.hosts = [Host(self, n + 1) for n in range(hosts)]
 
+    def launch_store(self):
+        return self.launch("store", "testing/store_standin", "--listen",
+                           self.store)
+
+    def store_for(self, host):
+        """Returns the address at which a host's daemon reaches the store."""
+        return self.store
+
     def launch(self, name, program, *arguments):
         process = Process(self.work / f"{name}.log",
                           [str(self.build / program), *arguments])
