--- a/testing/soak/config_fleet.py
+++ b/testing/soak/config_fleet.py
@@ -129,7 +129,8 @@
 
 def turned_away(fleet, host, rng):
     """Returns the hosts that a store turns away besides a host."""
-    return [host, *rng.sample(fleet.hosts, rng.randint(0, 2))]
+    count = rng.randint(0, len(fleet.hosts) - 2)
+    return [host, *rng.sample(fleet.hosts, count)]
 
 
 def cut_store_path(fleet, host, rng, seconds):
