--- a/testing/soak/config_fleet.py
+++ b/testing/soak/config_fleet.py
@@ -29,10 +29,18 @@
     settings = CONFIG_SETTINGS
 
     def launch_store(self):
+        host, port = self.store.split(":")
+        if http_call(host, int(port), "GET", "/stats") is not None:
+            sys.exit(f"another run uses {self.net}")
         return self.launch("store", sys.executable,
                            str(INTEGRATION / "platform_store.py"), self.store,
                            str(self.work / "store.journal"))
 
+    def ended(self):
+        """Returns the logs of programs that do not run."""
+        return [process.log.name for process in self.processes
+                if process.process.poll() is not None]
+
     def start_store(self, lost_writes=0):
         command = self.store_process.command
         self.store_process.command = (
--- a/testing/soak/config_soak.py
+++ b/testing/soak/config_soak.py
@@ -161,6 +161,9 @@
     publisher.start()
     if missing := fleet.wait_ready(5, START_SECONDS):
         return [], [f"the fleet did not start: {missing}"], {}, []
+    if fleet.ended():
+        return [], [f"ended at the start, is {fleet.net} in use? "
+                    f"{fleet.ended()}"], {}, []
     answers = []
     askers = [Asker(host, publisher, answers) for host in fleet.hosts]
     for asker in askers:
