Test: a daemon without memory.limit_mb at a limit of the process (fails)

The settings name no limit, the process has one: RLIMIT_DATA 160 MB, or RLIMIT_AS 320 MB (the address space at rest is 160 MB with one worker). A crowd of 30 sends 8 MB each and stops just short of the end.

--- /dev/null
+++ b/testing/integration/hostile_unset_address_whole_test.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# The settings name no memory limit, the process has one for its address space,
+# of which arenas and stacks take a part. Large bodies that stop just short of
+# their end don't end it.
+NET=127.20.50
+. "$(dirname "$0")/lib.sh"
+. testing/integration/hostile_unset.sh
+
+meet_crowd_at_limit whole -v 320
