Memory: without memory.limit_mb the process asks the system for its limit

Callers got no answer any more: a crowd that sends large bodies ended the daemon with std::bad_alloc, because a setting of 0 meant that nothing is refused, whatever limit the process had.

The smallest counts of: its control group's limit, half of those above it and of the host's memory, its resource limits less what threads reserve. The event memory_bound names the limit and its source.

--- a/include/baobab/core/settings.hpp
+++ b/include/baobab/core/settings.hpp
@@ -198,7 +198,7 @@
   std::int64_t headerBytes = 16384;
   /// Rate of the host's network link in Mbit/s; 0: not known.
   double linkMbps = 0;
-  /// Memory in MB that the process may use; 0: not known.
+  /// Memory in MB that the process may use; 0: as the system says.
   double memoryLimitMb = 0;
   std::string logFormat = "json";
   std::string logLevel = "info";
--- a/include/baobab/net/log_events.hpp
+++ b/include/baobab/net/log_events.hpp
@@ -26,6 +26,19 @@
               LogField{ "zone", "availability zone of the host" } }
 };
 
+inline constexpr LogEvent kMemoryBound{
+  "memory_bound",
+  "daemon",
+  LogLevel::Info,
+  LogDropPolicy::DropLast,
+  "The memory that the process may use, once at its start.",
+  std::array{ LogField{ "source",
+                        "setting, control_group, shared_control_group, "
+                        "data_limit, address_space_limit, host or unknown" },
+              LogField{ "limit_bytes", "memory of the process; 0: unknown" },
+              LogField{ "bound_bytes", "bound of all messages; 0: none" } }
+};
+
 inline constexpr LogEvent kDraining{
   "draining",
   "daemon",
--- a/src/baobab/core/settings.cpp
+++ b/src/baobab/core/settings.cpp
@@ -236,7 +236,8 @@
       1000000,
       "MB",
       "Memory that the process may use. Large requests and answers that don't "
-      "fit into it together are refused; 0: not known, nothing is refused."),
+      "fit into it together are refused; 0: the smallest of the limits of the "
+      "process and its control group, and half of the host's memory."),
     EnumField<S, std::string>(
       "log.format",
       [](S& s) -> auto& { return s.logFormat; },
--- a/src/baobab/net/log_events.cpp
+++ b/src/baobab/net/log_events.cpp
@@ -10,6 +10,7 @@
 {
   const auto visit = [&](const auto&... aEvents) { (aFunction(aEvents), ...); };
   visit(kStarted,
+        kMemoryBound,
         kDraining,
         kStopped,
         kWorkersStalled,
--- a/src/baobab/node/daemon.cpp
+++ b/src/baobab/node/daemon.cpp
@@ -606,7 +606,7 @@
           const Platform& aPlatform,
           SettingsReader aReader)
 {
-  LimitMemory(aSettings.settings.memoryLimitMb);
+  LimitMemory(aSettings.settings);
   // Never destroyed: fibers of the stopped daemon still refer to it, and the
   // process exits right after.
   auto* daemon = new Daemon(aSettings, aPlatform, std::move(aReader));
--- a/src/baobab/node/memory_limit.cpp
+++ b/src/baobab/node/memory_limit.cpp
@@ -1,6 +1,10 @@
 #include "baobab/node/memory_limit.hpp"
 
+#include "baobab/core/settings.hpp"
 #include "baobab/decision/memory_bounds.hpp"
+#include "baobab/net/log.hpp"
+#include "baobab/net/log_events.hpp"
+#include "baobab/node/memory_facts.hpp"
 #include "baobab/node/metrics.hpp"
 
 #include <malloc.h>
@@ -14,17 +18,38 @@
 /// of large messages would stay in the heap.
 constexpr int kLargeBlockBytes = 256 << 10;
 
+/// Threads beside the workers that the process starts.
+constexpr std::int64_t kOtherThreads = 1;
+
+ProcessMemoryLimit
+LimitFor(const Settings& aSettings)
+{
+  constexpr double kMegabyte = 1e6;
+  const auto bytes =
+    static_cast<std::int64_t>(aSettings.memoryLimitMb * kMegabyte);
+  if (bytes > 0) {
+    return { bytes, MemorySource::Setting };
+  }
+  MemoryFacts facts = ReadMemoryFacts();
+  AddResourceLimits(facts);
+  return MemoryLimitOf(facts, aSettings.workers + kOtherThreads);
+}
+
 }
 
 void
-LimitMemory(double aMegabytes)
+LimitMemory(const Settings& aSettings)
 {
-  constexpr double kMegabyte = 1e6;
-  const auto bytes = static_cast<std::int64_t>(aMegabytes * kMegabyte);
-  if (bytes <= 0) {
+  const ProcessMemoryLimit limit = LimitFor(aSettings);
+  const MemoryBounds bounds = MemoryBoundsOf(limit.bytes);
+  Log(kMemoryBound,
+      Name(limit.source),
+      limit.bytes,
+      bounds.Bounded() ? bounds.total : 0);
+  if (!bounds.Bounded()) {
     return;
   }
-  ProcessMemory().SetBounds(MemoryBoundsOf(bytes));
+  ProcessMemory().SetBounds(bounds);
   mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
   mallopt(M_TRIM_THRESHOLD, kLargeBlockBytes);
 }
