Memory: what is reserved counts where a resource limit binds

Cause: a body's memory is reserved in full when its length is announced, or when a chunked body passes 1 MiB; the ledger counts the bytes that arrived. A resource limit counts what is reserved. Now the ledger does too if the limit is one for data or address space; limits of other sources count as before.

--- a/include/baobab/core/memory_ledger.hpp
+++ b/include/baobab/core/memory_ledger.hpp
@@ -47,6 +47,9 @@
   std::int64_t total = kUnbounded;
   /// Bytes beyond the bounds that only small messages may take.
   std::int64_t reserve = 0;
+  /// True if memory that is reserved but not written to is in use as well, as
+  /// it is for resource limits of the process.
+  bool reservedCounts = false;
 
   bool Bounded() const { return this->total != kUnbounded; }
 };
--- a/src/baobab/net/body_reader.cpp
+++ b/src/baobab/net/body_reader.cpp
@@ -94,7 +94,9 @@
   if (!result) {
     this->Discard();
   } else {
-    this->held.Account(this->parser.get().body().size());
+    const std::string& body = this->parser.get().body();
+    this->held.Account(ProcessMemory().Bounds().reservedCounts ? body.capacity()
+                                                               : body.size());
   }
   return result;
 }
@@ -153,7 +155,25 @@
     this->state.length
       ? std::min(*this->state.length - this->state.arrived, kUnreadBytes)
       : kUnreadBytes;
-  return this->state.arrived + ahead;
+  const std::size_t used = this->state.arrived + ahead;
+  return ProcessMemory().Bounds().reservedCounts
+           ? std::max(used, this->NeededReserve())
+           : used;
+}
+
+/// Returns the memory that the body has reserved at most after the next read.
+std::size_t
+BodyReader::NeededReserve() const
+{
+  if (this->state.length) {
+    return *this->state.length;
+  }
+  if (this->state.arrived > kLargeBodyBytes) {
+    return this->maxBodyBytes;
+  }
+  // A growing string holds its old memory and twice as much for a moment.
+  const std::size_t next = this->state.arrived + 2 * kReadBytes;
+  return std::max(3 * next, next > kLargeBodyBytes ? this->maxBodyBytes : 0);
 }
 
 UnfinishedBody
--- a/src/baobab/net/body_reader.hpp
+++ b/src/baobab/net/body_reader.hpp
@@ -46,6 +46,7 @@
   bool Reserve();
   bool MakeRoom();
   std::size_t Needed() const;
+  std::size_t NeededReserve() const;
   UnfinishedBody State() const;
   void GiveWay();
   void Discard();
--- a/src/baobab/net/http_client.cpp
+++ b/src/baobab/net/http_client.cpp
@@ -4,6 +4,7 @@
 #include "http_convert.hpp"
 #include "response_check.hpp"
 
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <charconv>
 
@@ -156,14 +157,19 @@
       if (Now() >= this->deadline) {
         return this->Fail(beast::error::timeout);
       }
-      if (body.size() >= kCountedBodyBytes &&
-          !held.TryHold(body.size() + kReadBytes,
-                        body.size() < kReservedAnswerBytes)) {
+      const bool reserves = body.size() >= kLargeBodyBytes &&
+                            !parser.content_length() &&
+                            ProcessMemory().Bounds().Bounded();
+      std::size_t needed = body.size();
+      if (ProcessMemory().Bounds().reservedCounts) {
+        needed = std::max(reserves ? aMaxBytes : 0, body.capacity());
+      }
+      if (needed >= kCountedBodyBytes &&
+          !held.TryHold(needed + kReadBytes, needed < kReservedAnswerBytes)) {
         held.MarkRefused();
         return this->Fail(http::error::body_limit);
       }
-      if (body.size() >= kLargeBodyBytes && !parser.content_length() &&
-          ProcessMemory().Bounds().Bounded()) {
+      if (reserves) {
         // Memory that was not written to is not in use. Growing step by step
         // would hold the body twice for a moment.
         body.reserve(aMaxBytes);
@@ -192,7 +198,9 @@
     Response response{ message.result_int(), EndToEndHeaders(message), "" };
     response.body = std::move(message.body());
     if (response.body.size() >= kCountedBodyBytes) {
-      held.Account(response.body.size());
+      held.Account(ProcessMemory().Bounds().reservedCounts
+                     ? response.body.capacity()
+                     : response.body.size());
       response.held = std::move(held);
     }
     return response;
--- a/src/baobab/node/memory_limit.cpp
+++ b/src/baobab/node/memory_limit.cpp
@@ -41,7 +41,9 @@
 LimitMemory(const Settings& aSettings)
 {
   const ProcessMemoryLimit limit = LimitFor(aSettings);
-  const MemoryBounds bounds = MemoryBoundsOf(limit.bytes);
+  MemoryBounds bounds = MemoryBoundsOf(limit.bytes);
+  bounds.reservedCounts = limit.source == MemorySource::DataLimit ||
+                          limit.source == MemorySource::AddressSpaceLimit;
   Log(kMemoryBound,
       Name(limit.source),
       limit.bytes,
