--- a/testing/integration/hostile_callers.py
+++ b/testing/integration/hostile_callers.py
@@ -268,4 +268,5 @@
     return 1 if failures else 0
 
 
-sys.exit(asyncio.run(main()))
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
