--- a/src/baobab/net/log_events.cpp
+++ b/src/baobab/net/log_events.cpp
@@ -11,6 +11,7 @@
   const auto visit = [&](const auto&... aEvents) { (aFunction(aEvents), ...); };
   visit(kStarted,
         kCallerConnectionsLowered,
+        kMemoryBound,
         kDraining,
         kStopped,
         kWorkersStalled,
