--- a/include/baobab/decision/pull_plan.hpp
+++ b/include/baobab/decision/pull_plan.hpp
@@ -11,8 +11,8 @@
 
 /// Decides when to pull the configuration from a peer that has a newer one. If
 /// a pull takes long, another peer is asked as well, because the first one may
-/// be unreachable or busy with many other pulls. A pull that hangs does not keep
-/// others from being started.
+/// be unreachable or busy with many other pulls. A pull that hangs does not
+/// keep others from being started.
 class PullPlan
 {
 public:
