--- a/src/baobab/node/memory_facts.cpp
+++ b/src/baobab/node/memory_facts.cpp
@@ -71,7 +71,12 @@
 {
   bool own = true;
   while (true) {
-    const std::string file = aMount + (aPath == "/" ? "" : aPath) + "/" + aFile;
+    std::string file = aMount;
+    if (aPath != "/") {
+      file += aPath;
+    }
+    file += "/";
+    file += aFile;
     if (std::ifstream(file)) {
       Lower(own ? aFacts.controlGroup : aFacts.sharedControlGroup,
             ReadNumber(file));
