--- a/src/baobab/node/config_agent.cpp
+++ b/src/baobab/node/config_agent.cpp
@@ -246,6 +246,7 @@
       return false;
     }
   }
+  // The state was older than one seen before: it may lack later changes.
   if (aSource.Position().empty()) {
     return false;
   }
--- a/testing/soak/config_soak.py
+++ b/testing/soak/config_soak.py
@@ -152,8 +152,6 @@
                    for host in waiting]
 
 
-
-
 def run_soak(fleet, arguments):
     """Returns the violations, further problems, a summary and the plan."""
     publisher = fleet.publisher = Publisher(fleet.store, arguments.seed)
