--- a/review/8/case.py
+++ b/review/8/case.py
@@ -19,7 +19,16 @@
         3, [{"path_prefix": "/look/", "service": "quoting"}], ["quoting"])
     for machine in machines:
         machine.start()
-    other = harness.Upstream(world, machines[1], "i-1")
+
+    def start(machine, identity):
+        upstream = harness.Upstream(world, machine, identity)
+
+        async def behave(request):
+            await asyncio.sleep(0.1)
+            return upstream.success(request)
+        upstream.behave = behave
+        return upstream
+    other = start(machines[1], "i-1")
     await other.start()
     await world.until_served(machines[0], "/look/a")
     await asyncio.sleep(1)
@@ -30,9 +39,9 @@
             await world.request(machine, "GET", "/look/b", 4000)
             await asyncio.sleep(0.05)
     consumers = [asyncio.create_task(consume(machine))
-                 for machine in machines for _ in range(4)]
+                 for machine in machines for _ in range(10)]
     # The first start, while the time of day is ahead.
-    first = harness.Upstream(world, machines[0], "i-0")
+    first = start(machines[0], "i-0")
     first.born += STEP_MS if trouble else 0
     await first.start()
     if not await first.beat():
@@ -40,7 +49,7 @@
     await asyncio.sleep(1)
     await first.crash()
     # The time of day is right again when it starts for the second time.
-    second = harness.Upstream(world, machines[0], "i-0")
+    second = start(machines[0], "i-0")
     await second.start()
     if not await second.beat():
         raise CannotRun("the heartbeat isn't acknowledged")
