--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""An upstream that started again after its clock was set back is ignored."""
+"""A request is sent again to an upstream that has left."""
 import asyncio
 import pathlib
 import sys
@@ -10,68 +10,56 @@
 from harness import CannotRun  # noqa: E402
 
 DRAIN_S = 2.0
-STEP_MS = 2400
+WORK_S = 3.0
 
 
 async def case(world, trouble):
-    machines = [world.machine("quoting"), world.machine("quoting")]
+    machines = [world.machine("crewdesk"), world.machine("crewdesk")]
     await world.publish(
-        3, [{"path_prefix": "/look/", "service": "quoting"}], ["quoting"])
-    for machine in machines:
+        3, [{"path_prefix": "/photos/", "service": "crewdesk",
+             "kind": "download", "timeout_ms": 8000}], ["crewdesk"])
+    for number, machine in enumerate(machines):
         machine.start()
+        upstream = harness.Upstream(world, machine, "i-%d" % number)
+        await upstream.start()
 
-    def start(machine, identity):
-        upstream = harness.Upstream(world, machine, identity)
-
-        async def behave(request):
-            await asyncio.sleep(0.1)
+        async def behave(request, upstream=upstream):
+            if "/photos/bundle" in request[0]:
+                await asyncio.sleep(WORK_S)
+                # The upstream has run the request; its answer is lost.
+                if trouble and upstream.state == "draining":
+                    world.note("upstream %s has run %s; its answer is lost",
+                               upstream.id, request[1]["x-request-id"])
+                    return "reset"
             return upstream.success(request)
         upstream.behave = behave
-        return upstream
-    other = start(machines[1], "i-1")
-    await other.start()
-    await world.until_served(machines[0], "/look/a")
-    await asyncio.sleep(1)
-    stop = asyncio.Event()
+    for machine in machines:
+        await world.until_served(machine, "/photos/a")
+    await asyncio.sleep(3.5)  # all machines are in touch
+    # Connections that are kept for further requests.
+    for _ in range(5):
+        await asyncio.gather(*[world.request(machine, "GET", "/photos/a", 1000)
+                               for machine in machines for _ in range(4)])
+    before = len(world.runs)
+    consumer = asyncio.create_task(
+        world.request(machines[0], "GET", "/photos/bundle", 8000))
 
-    async def consume(machine):
-        while not stop.is_set():
-            await world.request(machine, "GET", "/look/b", 4000)
-            await asyncio.sleep(0.05)
-    consumers = [asyncio.create_task(consume(machine))
-                 for machine in machines for _ in range(10)]
-    # The first start, while the time of day is ahead.
-    first = start(machines[0], "i-0")
-    first.born += STEP_MS if trouble else 0
-    await first.start()
-    if not await first.beat():
-        raise CannotRun("the heartbeat isn't acknowledged")
-    await asyncio.sleep(1)
-    await first.crash()
-    # The time of day is right again when it starts for the second time.
-    second = start(machines[0], "i-0")
-    await second.start()
-    if not await second.beat():
-        raise CannotRun("the heartbeat isn't acknowledged")
-    world.note("starts of i-0: born %d, then %d", first.born, second.born)
-    if trouble and second.born >= first.born:
-        raise CannotRun("the second start came too late")
-    # The clock step is over for more than stability_ms.
-    await asyncio.sleep(3.2)
-    second.state = "draining"
-    if not await second.beat():
+    async def runs():
+        return len(world.runs) > before
+    await world.until(runs, 5, "the request doesn't reach an upstream")
+    leaving = world.runs[before][1]
+    leaving.state = "draining"
+    if not await leaving.beat():
         raise CannotRun("the heartbeat isn't acknowledged")
     acknowledged = time.monotonic()
-    world.note("upstream i-0 is draining; acknowledged")
-    await asyncio.sleep(6)
-    stop.set()
-    await asyncio.gather(*consumers)
-    late = [run[0] - acknowledged for run in world.runs
-            if run[1] is second and run[0] - acknowledged > DRAIN_S]
+    world.note("upstream %s is draining; acknowledged", leaving.id)
+    await consumer
+    late = [run for run in world.runs
+            if run[1] is leaving and run[0] - acknowledged > DRAIN_S]
     if late:
-        return "DRAIN: %d requests reached upstream i-0 between %.2f and " \
-            "%.2f s after the ack that it drains; drain_ms is 2000" % (
-                len(late), late[0], late[-1])
+        return "DRAIN: %d request(s) reached upstream %s %.2f s after the " \
+            "ack that it drains; drain_ms is 2000" % (
+                len(late), leaving.id, late[0][0] - acknowledged)
     return ""
 
 
--- a/review/second/harness.py
+++ b/review/second/harness.py
@@ -79,6 +79,9 @@
         self.objects = {}
         self.history = []
         self.changed = asyncio.Condition()
+        # Age of what calls with `serializable` = 1 return, in seconds.
+        self.stale_s = 0
+        self.log = []
         # Function that decides on a request: None to serve it, "reset",
         # "silent" or "busy". Its argument is the peer's address.
         self.fault = lambda peer: None
@@ -99,6 +102,7 @@
                 "spec": spec, "status": None}
             event = {"deleted": False, "object": self.objects[key]}
         self.history.append((self.revision, kind, event))
+        self.log.append((time.monotonic(), key, self.objects.get(key)))
         async with self.changed:
             self.changed.notify_all()
         return event["object"]
@@ -110,15 +114,19 @@
             return 404, {}
         kind, _, name = urllib.parse.unquote(
             url.path[len(OBJECTS):]).partition("/")
+        objects = self.objects
+        if self.stale_s and query.get("serializable") == "1":
+            seen = time.monotonic() - self.stale_s
+            objects = {key: value for at, key, value in self.log if at <= seen}
+            objects = {key: value for key, value in objects.items() if value}
         if method == "GET" and name:
-            found = self.objects.get((kind, name))
+            found = objects.get((kind, name))
             return (200, found) if found else (404, {})
         if method == "GET" and "watch" in query:
             return await self.watch(kind, int(query["watch"]),
                                     int(query.get("wait_ms", "0")) / 1000)
         if method == "GET":
-            return 200, {"items": [self.objects[key]
-                                   for key in sorted(self.objects)
+            return 200, {"items": [objects[key] for key in sorted(objects)
                                    if key[0] == kind and
                                    key[1] > query.get("after", "")],
                          "more": False, "current_rev": self.revision}
