--- a/review/second/harness.py
+++ b/review/second/harness.py
@@ -550,14 +550,16 @@
         async with asyncio.timeout(110):
             return await case(world, trouble)
 
+    # All processes end also if this one is told to.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(run())
+        world.note("%s", broken or "the rule held")
+        print(broken or "the rule held")
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
         world.note("cannot run: %s", error)
         print("cannot run:", error)
-        world.end()
         sys.exit(2)
-    world.note("%s", broken or "the rule held")
-    print(broken or "the rule held")
-    world.end()
+    finally:
+        world.end()
     sys.exit(1 if broken else 0)
